--- /dev/null
+++ b/daemon/src/config.rs
@@ -0,0 +1,94 @@
+//! What the daemon is told at its start: the `RELAY_*` variables and the JSON file that one of them names.
+
+use std::net::SocketAddr;
+
+use lichenusher::settings::{Config as SettingsObject, Deployment};
+use serde::Deserialize;
+
+use crate::service_table::Listing;
+
+/// The whole configuration.
+pub struct Config {
+    /// The balancer's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// The seed for random numbers.
+    pub seed: u64,
+    /// The most descriptors the process may hold.
+    pub sockets: usize,
+    /// The service table as this balancer last had it.
+    pub known: Listing,
+    /// The settings in the module's terms.
+    pub deployment: Deployment,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: Listing,
+    settings: SettingsObject,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+/// The fewest descriptors that leave room for both sides.
+const FEWEST_SOCKETS: usize = 64;
+
+impl Config {
+    /// Reads variables by `variable` and the file by `RELAY_CONFIG`; says plainly what is wrong. A
+    /// variable that is set goes before the file.
+    pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
+        Self::parse(&text, variable).map_err(|fault| format!("{path}: {fault}"))
+    }
+
+    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let mut reader = serde_json::Deserializer::from_str(text);
+        let file: File = serde_path_to_error::deserialize(&mut reader)
+            .map_err(|e| format!("field {}: {}", e.path(), e.inner()))?;
+        let told = |name: &str, field: &str, value: Option<String>| {
+            let told = variable(name).or(value);
+            told.ok_or(format!("field {field} is missing and {name} is not set"))
+        };
+        let address = |field: &str, text: String| {
+            text.parse::<SocketAddr>().map_err(|e| format!("field {field}: {text:?}: {e}"))
+        };
+        let listen = told("RELAY_LISTEN", "listen", file.listen)?;
+        let discovery = told("RELAY_DISCOVERY", "discovery", file.discovery)?;
+        if file.limits.sockets < FEWEST_SOCKETS {
+            return Err(format!("field limits.sockets: {} is under {FEWEST_SOCKETS}", file.limits.sockets));
+        }
+        let seed = u64::from_str_radix(&file.seed, 16);
+        let deployment = file.settings.deployment().map_err(|e| format!("field settings: {e}"))?;
+        deployment.settings.check().map_err(|e| format!("field {e}"))?;
+        Ok(Config {
+            name: told("RELAY_NAME", "name", file.name)?,
+            listen: address("listen", listen)?,
+            discovery: address("discovery", discovery)?,
+            seed: seed.map_err(|e| format!("field seed: {:?} is no hexadecimal number: {e}", file.seed))?,
+            sockets: file.limits.sockets,
+            known: file.known,
+            deployment,
+        })
+    }
+}
--- /dev/null
+++ b/daemon/src/http/framing.rs
@@ -0,0 +1,98 @@
+//! How long a body is, and the chunked coding.
+
+use super::Fault;
+use crate::buffers::Chain;
+
+/// The end of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// After so many bytes.
+    Length(u64),
+    /// After the last chunk.
+    Chunked,
+    /// Where the connection ends.
+    UntilClose,
+}
+
+/// A chunk's size line, and the lines behind the last chunk, are at most this long.
+const MAX_LINE: usize = 1024;
+const MAX_TRAILERS: usize = 32;
+
+/// The state of a chunked body that is being read.
+pub struct Chunks {
+    at: Part,
+    trailers: usize,
+    most: usize,
+}
+
+enum Part {
+    Size,
+    Data(usize),
+    DataEnd,
+    Trailers,
+}
+
+impl Chunks {
+    /// Of a body of which never more than `most` bytes wait to be used.
+    pub fn new(most: usize) -> Self {
+        Chunks { at: Part::Size, trailers: 0, most }
+    }
+
+    /// Moves what has come of the body; true once it is whole.
+    pub fn take(&mut self, inbox: &mut Chain, body: &mut Chain) -> Result<bool, Fault> {
+        loop {
+            match self.at {
+                Part::Size => {
+                    let Some(line) = line(inbox, MAX_LINE)? else { return Ok(false) };
+                    let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii();
+                    let valid = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
+                    let text = std::str::from_utf8(digits).ok().filter(|_| valid);
+                    let size = text.ok_or(Fault::Malformed("a chunk's size is no number"))?;
+                    let size = usize::from_str_radix(size, 16).map_err(|_| Fault::LongBody)?;
+                    if size > self.most.saturating_sub(body.len()) {
+                        return Err(Fault::LongBody);
+                    }
+                    self.at = if size == 0 { Part::Trailers } else { Part::Data(size) };
+                }
+                Part::Data(left) => {
+                    let here = left.min(inbox.len());
+                    inbox.shift(here, body);
+                    if here < left {
+                        self.at = Part::Data(left - here);
+                        return Ok(false);
+                    }
+                    self.at = Part::DataEnd;
+                }
+                Part::DataEnd => match line(inbox, MAX_LINE)? {
+                    None => return Ok(false),
+                    Some(rest) if rest.is_empty() => self.at = Part::Size,
+                    Some(_) => return Err(Fault::Malformed("a chunk is longer than its size")),
+                },
+                Part::Trailers => match line(inbox, MAX_LINE)? {
+                    None => return Ok(false),
+                    Some(rest) if rest.is_empty() => return Ok(true),
+                    Some(_) => self.trailers += 1,
+                },
+            }
+            if self.trailers > MAX_TRAILERS {
+                return Err(Fault::Malformed("too many trailers"));
+            }
+        }
+    }
+}
+
+/// Takes the next whole line, without its end; one of `most` bytes or more is too long.
+pub fn line(inbox: &mut Chain, most: usize) -> Result<Option<Vec<u8>>, Fault> {
+    let Some(end) = inbox.bytes().take(most).position(|b| b == b'\n') else {
+        return match inbox.len() < most {
+            true => Ok(None),
+            false => Err(Fault::Malformed("a line is too long")),
+        };
+    };
+    let mut text = inbox.copy(end);
+    inbox.consume(end + 1);
+    if text.last() == Some(&b'\r') {
+        text.pop();
+    }
+    Ok(Some(text))
+}
--- /dev/null
+++ b/daemon/src/http/head.rs
@@ -0,0 +1,207 @@
+//! The first line and headers of a message.
+
+use std::ops::Range;
+
+use super::framing::Framing;
+use crate::buffers::Chain;
+
+/// Headers that speak of one connection only and are never passed on.
+const HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+];
+const MAX_HEADERS: usize = 128;
+
+/// Where a head ends in what was read, just behind its empty line, if it is all there. The first
+/// `searched` bytes were looked at before.
+pub fn end(inbox: &Chain, searched: usize) -> Option<usize> {
+    let from = searched.saturating_sub(3);
+    let mut line = 1;
+    for (at, byte) in inbox.bytes().enumerate().skip(from) {
+        match byte {
+            b'\n' if line == 0 => return Some(at + 1),
+            b'\n' => line = 0,
+            b'\r' => {}
+            _ => line += 1,
+        }
+    }
+    None
+}
+
+/// A parsed head. It keeps the text; names and values are spans of it.
+pub struct Head {
+    text: Vec<u8>,
+    first: [Range<usize>; 3],
+    fields: Vec<(Range<usize>, Range<usize>)>,
+}
+
+/// The fields of a head, by name and value.
+pub type Headers<'a> = Vec<(&'a str, &'a [u8])>;
+
+fn is_token(bytes: &[u8]) -> bool {
+    let ok = |b: &u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(b);
+    !bytes.is_empty() && bytes.iter().all(ok)
+}
+
+impl Head {
+    /// Parses a whole head, its empty line included.
+    pub fn parse(text: Vec<u8>) -> Result<Self, &'static str> {
+        let mut first = None;
+        let mut fields = Vec::new();
+        let mut start = 0;
+        for end in (0..text.len()).filter(|i| text[*i] == b'\n') {
+            let stop = if end > start && text[end - 1] == b'\r' { end - 1 } else { end };
+            let line = start..stop;
+            start = end + 1;
+            if first.is_none() {
+                first = Some(first_line(&text, line)?);
+            } else if !line.is_empty() {
+                if fields.len() == MAX_HEADERS {
+                    return Err("too many headers");
+                }
+                fields.push(field(&text, line)?);
+            }
+        }
+        Ok(Head { first: first.ok_or("there is no first line")?, fields, text })
+    }
+
+    fn part(&self, at: usize) -> &str {
+        std::str::from_utf8(&self.text[self.first[at].clone()]).unwrap_or_default()
+    }
+
+    /// Checks that this head begins a request of HTTP/1.
+    pub fn check_request(&self) -> Result<(), &'static str> {
+        if !is_token(self.part(0).as_bytes()) {
+            return Err("the method is no token");
+        }
+        let target = self.part(1);
+        if !target.starts_with('/') || !target.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err("the target is no path");
+        }
+        match self.part(2) {
+            "HTTP/1.1" | "HTTP/1.0" => Ok(()),
+            _ => Err("the version is not HTTP/1.1"),
+        }
+    }
+
+    /// A request's method.
+    pub fn method(&self) -> &str {
+        self.part(0)
+    }
+
+    /// A request's path and query.
+    pub fn target(&self) -> &str {
+        self.part(1)
+    }
+
+    /// An answer's status.
+    pub fn status(&self) -> Result<u16, &'static str> {
+        if !self.part(0).starts_with("HTTP/1.") {
+            return Err("the version is not HTTP/1");
+        }
+        let status = self.part(1);
+        match status.parse() {
+            Ok(code @ 100..=599) if status.len() == 3 => Ok(code),
+            _ => Err("the status is no number of three digits"),
+        }
+    }
+
+    /// The values of a field.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let named = move |(n, _): &&(Range<usize>, Range<usize>)| {
+            self.text[n.clone()].eq_ignore_ascii_case(name.as_bytes())
+        };
+        self.fields.iter().filter(named).map(|(_, value)| &self.text[value.clone()])
+    }
+
+    /// The first value of a field, if it is text.
+    pub fn get<'a>(&'a self, name: &'a str) -> Option<&'a str> {
+        self.all(name).next().and_then(|value| std::str::from_utf8(value).ok())
+    }
+
+    /// The fields that are meant for the far end, without those that speak of this connection.
+    pub fn end_to_end(&self) -> Headers<'_> {
+        let mut all = Vec::with_capacity(self.fields.len());
+        for (name, value) in &self.fields {
+            let name = std::str::from_utf8(&self.text[name.clone()]).unwrap_or_default();
+            if !HOP.iter().any(|hop| hop.eq_ignore_ascii_case(name)) && !self.lists("connection", name) {
+                all.push((name, &self.text[value.clone()]));
+            }
+        }
+        all
+    }
+
+    /// True if a field that holds a list names this word.
+    pub fn lists(&self, field: &str, word: &str) -> bool {
+        self.all(field)
+            .flat_map(|value| value.split(|b| *b == b','))
+            .any(|item| item.trim_ascii().eq_ignore_ascii_case(word.as_bytes()))
+    }
+
+    /// True if the sender wants the connection to stay open.
+    pub fn keeps_alive(&self) -> bool {
+        let old = self.part(0) == "HTTP/1.0" || self.part(2) == "HTTP/1.0";
+        !self.lists("connection", "close") && (!old || self.lists("connection", "keep-alive"))
+    }
+
+    /// How the body that follows is framed; `otherwise` if the head does not say.
+    pub fn framing(&self, otherwise: Framing) -> Result<Framing, &'static str> {
+        let mut lengths = self.all("content-length").flat_map(|value| value.split(|b| *b == b','));
+        let mut codings = self.all("transfer-encoding");
+        match (lengths.next(), codings.next()) {
+            (Some(_), Some(_)) => Err("both a length and a transfer coding"),
+            (None, None) => Ok(otherwise),
+            (None, Some(coding)) => match coding.eq_ignore_ascii_case(b"chunked") && codings.next().is_none()
+            {
+                true => Ok(Framing::Chunked),
+                false => Err("an unknown transfer coding"),
+            },
+            (Some(length), None) => {
+                let length = length.trim_ascii();
+                if lengths.any(|other| other.trim_ascii() != length) {
+                    return Err("lengths that differ");
+                }
+                let digits = !length.is_empty() && length.iter().all(u8::is_ascii_digit);
+                let number = std::str::from_utf8(length).ok().filter(|_| digits);
+                // A length of more digits than any body has is no error of form: it is too long.
+                number
+                    .map(|n| Framing::Length(n.parse().unwrap_or(u64::MAX)))
+                    .ok_or("the length is no number")
+            }
+        }
+    }
+}
+
+fn first_line(text: &[u8], line: Range<usize>) -> Result<[Range<usize>; 3], &'static str> {
+    let bytes = &text[line.clone()];
+    if std::str::from_utf8(bytes).is_err() || bytes.iter().any(|b| b.is_ascii_control()) {
+        return Err("the first line is no text");
+    }
+    let space = |from: usize| (from..line.end).find(|i| text[*i] == b' ');
+    let one = space(line.start).ok_or("the first line has too few parts")?;
+    // An answer may leave its reason out, and the space before it.
+    let two = space(one + 1).unwrap_or(line.end);
+    Ok([line.start..one, one + 1..two, (two + 1).min(line.end)..line.end])
+}
+
+fn field(text: &[u8], line: Range<usize>) -> Result<(Range<usize>, Range<usize>), &'static str> {
+    let bytes = &text[line.clone()];
+    let colon = bytes.iter().position(|b| *b == b':').ok_or("a header without a colon")?;
+    if !is_token(&bytes[..colon]) {
+        return Err("a header's name is no token");
+    }
+    let value = &bytes[colon + 1..];
+    if value.iter().any(|b| b.is_ascii_control() && *b != b'\t') {
+        return Err("a header holds a control character");
+    }
+    let lead = value.len() - value.trim_ascii_start().len();
+    let start = line.start + colon + 1 + lead;
+    Ok((line.start..line.start + colon, start..start + value.trim_ascii().len()))
+}
--- /dev/null
+++ b/daemon/src/http/mod.rs
@@ -0,0 +1,227 @@
+//! HTTP/1.1 as far as a balancer needs it: heads, framing and whole messages on a connection.
+
+mod framing;
+mod head;
+
+use std::io;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::buffers::{Chain, Pool};
+use crate::sockets::Permit;
+pub use framing::{Chunks, Framing, line};
+pub use head::Head;
+
+/// The longest head that is read.
+pub const MAX_HEAD: usize = 16 * 1024;
+/// The longest body that is read.
+pub const MAX_BODY: usize = 64 * 1024;
+
+/// Why no whole message came.
+#[derive(Debug)]
+pub enum Fault {
+    /// The other side ended the connection, or it broke.
+    Ended,
+    /// What came is no HTTP/1.1 message.
+    Malformed(&'static str),
+    /// The head is longer than [`MAX_HEAD`].
+    LongHead,
+    /// The body is longer than [`MAX_BODY`].
+    LongBody,
+}
+
+/// A request or an answer, read whole.
+pub struct Message {
+    /// Its first line and headers.
+    pub head: Head,
+    /// Its body without framing.
+    pub body: Chain,
+}
+
+/// A connection with what has been read from it and not used yet.
+pub struct Connection {
+    stream: TcpStream,
+    inbox: Chain,
+    pool: Pool,
+    _permit: Permit,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Fault::Ended => f.write_str("the connection ended"),
+            Fault::Malformed(what) => f.write_str(what),
+            Fault::LongHead => f.write_str("the head is too long"),
+            Fault::LongBody => f.write_str("the body is too long"),
+        }
+    }
+}
+
+impl Connection {
+    /// Takes over a stream and its share of the descriptor budget.
+    pub fn new(stream: TcpStream, pool: &Pool, permit: Permit) -> Self {
+        // Without this a small write may wait for an acknowledgement; if it fails, it only does that.
+        let _ = stream.set_nodelay(true);
+        Connection { stream, inbox: pool.chain(), pool: pool.clone(), _permit: permit }
+    }
+
+    /// True if bytes wait that no message has used.
+    pub fn has_input(&self) -> bool {
+        !self.inbox.is_empty()
+    }
+
+    /// How many bytes wait.
+    pub fn waiting(&self) -> usize {
+        self.inbox.len()
+    }
+
+    /// Reads what there is; 0 bytes mean that the other side has ended. Safe to drop midway.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        let count = self.stream.read(self.inbox.room()).await?;
+        self.inbox.filled(count);
+        Ok(count)
+    }
+
+    async fn more(&mut self) -> Result<(), Fault> {
+        match self.fill().await {
+            Ok(0) | Err(_) => Err(Fault::Ended),
+            Ok(_) => Ok(()),
+        }
+    }
+
+    /// Reads the next head. Empty lines before it are skipped, as RFC 9112 asks.
+    pub async fn read_head(&mut self) -> Result<Head, Fault> {
+        let (mut searched, mut skipped) = (0, 0);
+        loop {
+            while searched == 0 && matches!(self.inbox.bytes().next(), Some(b'\r' | b'\n')) {
+                self.inbox.consume(1);
+                skipped += 1;
+            }
+            if let Some(end) = head::end(&self.inbox, searched) {
+                if end > MAX_HEAD {
+                    return Err(Fault::LongHead);
+                }
+                let text = self.inbox.copy(end);
+                self.inbox.consume(end);
+                return Head::parse(text).map_err(Fault::Malformed);
+            }
+            searched = self.inbox.len();
+            if searched + skipped > MAX_HEAD {
+                return Err(Fault::LongHead);
+            }
+            self.more().await?;
+        }
+    }
+
+    /// Reads the body that the head announced.
+    pub async fn read_body(&mut self, framing: Framing) -> Result<Chain, Fault> {
+        let mut body = self.pool.chain();
+        match framing {
+            Framing::Length(length) => {
+                if length > MAX_BODY as u64 {
+                    return Err(Fault::LongBody);
+                }
+                let length = length as usize;
+                while self.inbox.len() < length {
+                    self.more().await?;
+                }
+                self.inbox.shift(length, &mut body);
+            }
+            Framing::Chunked => {
+                let mut chunks = Chunks::new(MAX_BODY);
+                while !chunks.take(&mut self.inbox, &mut body)? {
+                    self.more().await?;
+                }
+            }
+            Framing::UntilClose => loop {
+                let waiting = self.inbox.len();
+                self.inbox.shift(waiting, &mut body);
+                if body.len() > MAX_BODY {
+                    return Err(Fault::LongBody);
+                }
+                match self.fill().await {
+                    Ok(0) => break,
+                    Ok(_) => {}
+                    // A reset does not end a body, it cuts it short.
+                    Err(_) => return Err(Fault::Ended),
+                }
+            },
+        }
+        Ok(body)
+    }
+
+    /// Reads more of a chunked body that is used as it comes; true once it has ended.
+    pub async fn read_chunks(&mut self, chunks: &mut Chunks, body: &mut Chain) -> Result<bool, Fault> {
+        let had = body.len();
+        loop {
+            if chunks.take(&mut self.inbox, body)? {
+                return Ok(true);
+            }
+            if body.len() > had {
+                return Ok(false);
+            }
+            self.more().await?;
+        }
+    }
+
+    /// Writes the chains one after the other, whole.
+    pub async fn write(&mut self, chains: &[&Chain]) -> io::Result<()> {
+        let total: usize = chains.iter().map(|chain| chain.len()).sum();
+        let mut written = 0;
+        while written < total {
+            let mut skip = written;
+            let mut slices = Vec::new();
+            for chain in chains {
+                slices.extend(chain.io_slices(skip));
+                skip = skip.saturating_sub(chain.len());
+            }
+            let count = self.stream.write_vectored(&slices).await?;
+            if count == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            written += count;
+        }
+        Ok(())
+    }
+
+    /// True if the other side has neither ended nor said anything out of turn.
+    pub fn is_quiet(&self) -> bool {
+        let mut byte = [0];
+        let open = matches!(self.stream.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
+        open && self.inbox.is_empty()
+    }
+
+    /// Ends our side after a last answer and waits a moment for the other: closing with bytes unread
+    /// would reset the connection, and the answer might be lost with it.
+    pub async fn linger(mut self) {
+        const MOST: usize = 256 * 1024;
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let drain = async {
+            let mut read = 0;
+            while read < MOST {
+                let waiting = self.inbox.len();
+                self.inbox.consume(waiting);
+                match self.fill().await {
+                    Ok(0) | Err(_) => break,
+                    Ok(count) => read += count,
+                }
+            }
+        };
+        let _ = tokio::time::timeout(std::time::Duration::from_secs(1), drain).await;
+    }
+}
+
+/// Appends the fields that are meant for the far end, but for those named.
+pub fn push_headers(to: &mut Chain, head: &Head, but: &[&str]) {
+    for (name, value) in head.end_to_end() {
+        if !but.iter().any(|other| other.eq_ignore_ascii_case(name)) {
+            to.push(name.as_bytes());
+            to.push(b": ");
+            to.push(value);
+            to.push(b"\r\n");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,115 @@
+//! `gradepaddle`: an HTTP balancer on real sockets. The decisions are the library's; here is what they
+//! need to run: connections, messages, time and the service table.
+
+#![forbid(unsafe_code)]
+
+mod app_server;
+mod buffers;
+mod clock;
+mod config;
+mod decision;
+mod http;
+mod routed_task;
+mod service_table;
+mod sockets;
+mod terminal;
+mod transaction;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use lichenusher::Balancer;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tracing::{error, info};
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::decision::Decision;
+use crate::service_table::ServiceTable;
+use crate::terminal::Phase;
+
+/// After SIGTERM the front goes on sending for a while, so that long all is accepted and answered.
+const LEAVE: Duration = Duration::from_millis(1000);
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_target(false).with_ansi(false).init();
+    let config = match Config::read(|name| std::env::var(name).ok()) {
+        Ok(config) => config,
+        Err(fault) => {
+            error!("configuration: {fault}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(fault) => {
+            error!("starting: {fault}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match LocalSet::new().block_on(&runtime, serve(config)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            error!("ended: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Serves until SIGTERM, then until all is answered.
+async fn serve(config: Config) -> Result<(), String> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = listener.map_err(|e| format!("field listen: {}: {e}", config.listen))?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    let (clock, pool) = (Clock::start(), buffers::Pool::default());
+    let budget = sockets::Budget::new(config.sockets);
+    let balancer = Balancer::new(config.deployment.settings.clone(), config.seed);
+    let balancer = balancer.map_err(|e| format!("field {e}"))?;
+    let (ready, is_ready) = watch::channel(false);
+    let (leave, phase) = watch::channel(Phase::Serving);
+    let (decision, events) = decision::Mailbox::new();
+    let (table, asks) = mpsc::unbounded_channel();
+
+    let deciding = Decision::new(balancer, config.name.clone(), clock, decision.clone(), table, ready);
+    let mut deciding = spawn_local(deciding.run(events));
+    let app_servers = Rc::new(app_server::Context {
+        pool: pool.clone(),
+        clock,
+        budget: budget.clone(),
+        dial_timeout: Duration::from_micros(config.deployment.dial_timeout),
+        conn_idle: config.deployment.conn_idle,
+    });
+    let table = ServiceTable::new(config.discovery, config.deployment.clone(), decision.clone(), app_servers);
+    let mut listing = spawn_local(table.run(config.known, asks));
+    let (alive, mut ended) = mpsc::channel(1);
+    let deployment = config.deployment;
+    let terminals = terminal::Context { pool, clock, budget, deployment, decision, ready: is_ready, phase };
+    let mut accepting = spawn_local(terminal::accept(listener, Rc::new(terminals), alive));
+    info!(name = config.name, listen = %address, discovery = %config.discovery, "started");
+
+    let leaving = async {
+        terminate.recv().await;
+        info!("SIGTERM: no longer ready, still answering");
+        leave.send_replace(Phase::Leaving);
+        tokio::time::sleep(LEAVE).await;
+        leave.send_replace(Phase::Closing);
+        info!("closing");
+    };
+    // None of the actors ends by itself while the daemon serves: one that does has panicked.
+    tokio::select! {
+        () = leaving => {}
+        end = &mut deciding => return Err(format!("the decisions ended: {end:?}")),
+        end = &mut listing => return Err(format!("the service table ended: {end:?}")),
+        end = &mut accepting => return Err(format!("accepting ended: {end:?}")),
+    }
+    accepting.await.map_err(|e| format!("accepting ended: {e}"))?;
+    // Every terminal holds a sender; the channel ends with the last of them.
+    while ended.recv().await.is_some() {}
+    info!("all is answered");
+    Ok(())
+}
--- /dev/null
+++ b/daemon/src/service_table.rs
@@ -0,0 +1,280 @@
+//! The service table: discovery's list, kept by a watch. It is the one source of the app servers'
+//! addresses. When to watch anew is not decided here.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use lichenusher::settings::{Deployment, micros, place};
+use lichenusher::{Id, ListKind, Micros, Server, State};
+use serde::Deserialize;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tracing::{info, warn};
+
+use crate::app_server::{self, Command, Entry};
+use crate::decision::{self, Change};
+use crate::http::{Chunks, Connection, Framing, line};
+use crate::sockets::Side;
+
+/// Discovery sends an empty line every 2 s; a watch silent for this long is broken.
+const SILENCE: Duration = Duration::from_secs(5);
+/// How long the connection may take to come up.
+const DIAL: Duration = Duration::from_secs(1);
+/// The longest line of a watch: room for the list of some thousand app servers.
+const MAX_LINE: usize = 1024 * 1024;
+/// An app server that has left the table is forgotten after this.
+const FORGET: Micros = 120_000_000;
+
+/// What the table is asked.
+pub enum Ask {
+    /// Open a watch.
+    Watch,
+}
+
+/// The mailbox of the table.
+pub type Mailbox = mpsc::UnboundedSender<Ask>;
+
+/// The list, or changes of it, as discovery writes them.
+#[derive(Default, Deserialize)]
+pub struct Listing {
+    #[serde(default)]
+    seq: u64,
+    #[serde(default)]
+    whole: bool,
+    #[serde(default)]
+    hosts: Vec<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+struct Host {
+    host: String,
+    dial: Option<String>,
+    #[serde(default)]
+    site: String,
+    #[serde(default)]
+    class: String,
+    #[serde(default)]
+    block: u32,
+    health: String,
+    #[serde(default = "one")]
+    share: f64,
+    #[serde(default)]
+    born_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+struct Known {
+    mailbox: app_server::Mailbox,
+    entry: Entry,
+    gone: Option<Micros>,
+}
+
+/// The actor's state.
+pub struct ServiceTable {
+    discovery: SocketAddr,
+    deployment: Deployment,
+    decision: decision::Mailbox,
+    context: Rc<app_server::Context>,
+    seq: u64,
+    known: HashMap<Id, Known>,
+}
+
+impl ServiceTable {
+    /// A table that holds nothing yet.
+    pub fn new(
+        discovery: SocketAddr,
+        deployment: Deployment,
+        decision: decision::Mailbox,
+        context: Rc<app_server::Context>,
+    ) -> Self {
+        ServiceTable { discovery, deployment, decision, context, seq: 0, known: HashMap::new() }
+    }
+
+    /// Starts from the last list and watches whenever asked to.
+    pub async fn run(mut self, known: Listing, mut inbox: mpsc::UnboundedReceiver<Ask>) {
+        self.apply(known, ListKind::Cached);
+        while let Some(Ask::Watch) = inbox.recv().await {
+            let why = self.watch().await;
+            // One call ends in one failure, however often it was asked for meanwhile.
+            while inbox.try_recv().is_ok() {}
+            warn!(discovery = %self.discovery, seq = self.seq, "watch broken: {why}");
+            let nothing = Vec::new();
+            self.decision.table(Change {
+                kind: ListKind::Failed,
+                servers: nothing,
+                added: Vec::new(),
+                forgotten: Vec::new(),
+            });
+        }
+    }
+
+    /// Watches until the watch ends, and says why it did.
+    async fn watch(&mut self) -> String {
+        let Some(permit) = self.context.budget.take(Side::Server) else {
+            return "no descriptor left".into();
+        };
+        let mut connection = match timeout(DIAL, TcpStream::connect(self.discovery)).await {
+            Ok(Ok(stream)) => Connection::new(stream, &self.context.pool, permit),
+            Ok(Err(e)) => return e.to_string(),
+            Err(_) => return "the connection did not come up".into(),
+        };
+        let mut request = self.context.pool.chain();
+        let text = format!(
+            "GET /registry/instances?stream=1&index={} HTTP/1.1\r\nHost: {}\r\n\r\n",
+            self.seq, self.discovery
+        );
+        request.push(text.as_bytes());
+        let head = timeout(SILENCE, async {
+            connection.write(&[&request]).await.map_err(|e| e.to_string())?;
+            connection.read_head().await.map_err(|fault| fault.to_string())
+        });
+        let head = match head.await {
+            Ok(Ok(head)) => head,
+            Ok(Err(why)) => return why,
+            Err(_) => return "no answer".into(),
+        };
+        match head.status() {
+            Ok(200) => {}
+            Ok(status) => return format!("discovery answered {status}"),
+            Err(why) => return why.into(),
+        }
+        if head.framing(Framing::UntilClose) != Ok(Framing::Chunked) {
+            return "the answer is not chunked".into();
+        }
+        let (mut chunks, mut text) = (Chunks::new(MAX_LINE), self.context.pool.chain());
+        loop {
+            let ended = match timeout(SILENCE, connection.read_chunks(&mut chunks, &mut text)).await {
+                Ok(Ok(ended)) => ended,
+                Ok(Err(fault)) => return fault.to_string(),
+                Err(_) => return format!("silent for {} s", SILENCE.as_secs()),
+            };
+            loop {
+                match line(&mut text, MAX_LINE) {
+                    Ok(None) => break,
+                    Ok(Some(line)) if line.trim_ascii().is_empty() => {}
+                    Ok(Some(line)) => match serde_json::from_slice(&line) {
+                        Ok(listing) => self.changed(listing),
+                        Err(e) => return format!("a line that is no list: {e}"),
+                    },
+                    Err(fault) => return fault.to_string(),
+                }
+            }
+            if ended {
+                return "discovery ended it".into();
+            }
+        }
+    }
+
+    fn changed(&mut self, listing: Listing) {
+        // Changes come in order; one from before our version would bring back what has passed.
+        if !listing.whole && listing.seq < self.seq {
+            warn!(seq = listing.seq, held = self.seq, "skipped changes older than the table");
+            return;
+        }
+        let kind = if listing.whole { ListKind::Full } else { ListKind::Delta };
+        self.apply(listing, kind);
+    }
+
+    fn apply(&mut self, listing: Listing, kind: ListKind) {
+        let now = self.context.clock.now();
+        self.seq = listing.seq;
+        let (mut servers, mut added) = (Vec::new(), Vec::new());
+        for host in listing.hosts {
+            match serde_json::from_value::<Host>(host) {
+                Ok(host) => servers.extend(self.enter(now, host, &mut added)),
+                // One entry that cannot be read must not cost the rest of the list.
+                Err(e) => warn!("skipped an entry of the list: {e}"),
+            }
+        }
+        if kind != ListKind::Delta {
+            let missing: Vec<Id> = self
+                .known
+                .keys()
+                .filter(|id| !servers.iter().any(|server: &Server| server.id == **id))
+                .cloned()
+                .collect();
+            missing.iter().for_each(|id| self.leave(now, id));
+        }
+        let forgotten: Vec<Id> = self
+            .known
+            .iter()
+            .filter(|(_, known)| known.gone.is_some_and(|at| now > at + FORGET))
+            .map(|(id, _)| id.clone())
+            .collect();
+        forgotten.iter().for_each(|id| drop(self.known.remove(id)));
+        let up = self.known.values().filter(|known| known.entry.open).count();
+        info!(seq = self.seq, ?kind, entries = servers.len(), up, "service table");
+        self.decision.table(Change { kind, servers, added, forgotten });
+    }
+
+    /// Enters one app server and tells its actor; the decisions' view of it.
+    fn enter(
+        &mut self,
+        now: Micros,
+        host: Host,
+        added: &mut Vec<(Id, app_server::Mailbox)>,
+    ) -> Option<Server> {
+        let id: Id = host.host.as_str().into();
+        let state = match host.health.as_str() {
+            "up" => State::Ready,
+            "removed" => State::Gone,
+            // A state that is not known here is at least not up: it gets nothing new.
+            _ => State::Draining,
+        };
+        if state == State::Gone {
+            self.leave(now, &id);
+        } else {
+            let dial = host.dial.as_deref().unwrap_or_default();
+            let Ok(dial) = dial.parse() else {
+                warn!(host = %id, dial, "skipped an entry of the list: no address");
+                return None;
+            };
+            let entry = Entry { dial, open: state == State::Ready };
+            match self.known.get_mut(&id) {
+                Some(known) => {
+                    known.gone = None;
+                    known.tell(entry);
+                }
+                None => {
+                    let mailbox = app_server::start(entry, self.context.clone());
+                    added.push((id.clone(), mailbox.clone()));
+                    self.known.insert(id.clone(), Known { mailbox, entry, gone: None });
+                }
+            }
+        }
+        Some(Server {
+            id,
+            zone: place(&mut self.deployment.zones, &host.site),
+            kind: place(&mut self.deployment.kinds, &host.class),
+            cell: host.block,
+            state,
+            weight: host.share,
+            started: (host.born_ms > 0.0).then(|| micros(host.born_ms)),
+        })
+    }
+
+    fn leave(&mut self, now: Micros, id: &Id) {
+        // Where only a drain binds, one that is called gone stays usable while it answers.
+        let open = self.deployment.settings.only_draining_binds;
+        if let Some(known) = self.known.get_mut(id) {
+            known.gone = known.gone.or(Some(now));
+            known.tell(Entry { open: open && known.entry.open, ..known.entry });
+        }
+    }
+}
+
+impl Known {
+    fn tell(&mut self, entry: Entry) {
+        if self.entry != entry {
+            self.entry = entry;
+            // The actor lives as long as this mailbox.
+            let _ = self.mailbox.send(Command::Entry(entry));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/terminal.rs
@@ -0,0 +1,314 @@
+//! The clients' side: accepts connections, reads one transaction at a time, notices a client that
+//! closes, and writes the one final answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use lichenusher::Micros;
+use lichenusher::settings::Deployment;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+use tracing::warn;
+
+use crate::buffers::{Chain, Pool};
+use crate::clock::Clock;
+use crate::decision;
+use crate::http::{self, Connection, Fault, Framing};
+use crate::sockets::{Budget, Permit, Side};
+use crate::transaction::{FinalAnswer, Message, Reply, Transaction};
+
+/// A request must have come whole this long after its first byte.
+const READ_WITHIN: Duration = Duration::from_secs(10);
+/// An answer must have been taken after this.
+const WRITE_WITHIN: Duration = Duration::from_secs(10);
+/// A client that sends nothing for this long is closed.
+const IDLE: Duration = Duration::from_secs(120);
+/// A client may send this much of its next request while it waits.
+const AHEAD: usize = 8 * 1024;
+/// What clients beyond the descriptor budget are told.
+const DOOR_PAUSE: Micros = 500_000;
+
+/// How far the daemon is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
+pub enum Phase {
+    /// Not at all.
+    Serving,
+    /// No longer ready: all is answered, and each answer ends its connection.
+    Leaving,
+    /// Nothing more is accepted, and idle connections are closed.
+    Closing,
+}
+
+/// What all terminals share.
+pub struct Context {
+    /// Where buffers come from.
+    pub pool: Pool,
+    /// The daemon's clock.
+    pub clock: Clock,
+    /// The descriptor budget.
+    pub budget: Budget,
+    /// The names and deadlines of classes and tenants.
+    pub deployment: Deployment,
+    /// Where transactions go.
+    pub decision: decision::Mailbox,
+    /// True once transactions can be served.
+    pub ready: watch::Receiver<bool>,
+    /// How far the daemon is on its way out.
+    pub phase: watch::Receiver<Phase>,
+}
+
+/// Accepts until the daemon closes, then empties the backlog. Each terminal holds a clone of `alive`.
+pub async fn accept(listener: TcpListener, context: Rc<Context>, alive: mpsc::Sender<()>) {
+    let mut phase = context.phase.clone();
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            accepted = accept_one(&listener, &context) => accepted,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => break,
+        };
+        start(accepted, &context, &alive);
+    }
+    // What the kernel has accepted counts as ours, so it is served before the listener goes.
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, _)) = listener.accept() {
+        let Some(permit) = context.budget.take(Side::Terminal).or_else(|| context.budget.take(Side::Door))
+        else {
+            return;
+        };
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        if let Ok(stream) = stream {
+            start((stream, permit), &context, &alive);
+        }
+    }
+}
+
+async fn accept_one(listener: &TcpListener, context: &Context) -> (TcpStream, Permit) {
+    loop {
+        let Some(permit) = context.budget.take(Side::Terminal).or_else(|| context.budget.take(Side::Door))
+        else {
+            context.budget.freed().await;
+            continue;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                context.budget.relieve();
+                return (stream, permit);
+            }
+            Err(e) => {
+                // Out of descriptors or memory, or a client that is gone already.
+                warn!("accepting failed: {e}");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+fn start((stream, permit): (TcpStream, Permit), context: &Rc<Context>, alive: &mpsc::Sender<()>) {
+    let (context, alive) = (context.clone(), alive.clone());
+    let served = permit.side() == Side::Terminal;
+    let connection = Connection::new(stream, &context.pool, permit);
+    tokio::task::spawn_local(async move {
+        serve(connection, &context, served).await;
+        drop(alive);
+    });
+}
+
+async fn serve(mut connection: Connection, context: &Context, served: bool) {
+    loop {
+        if !connection.has_input() && !awaited(&mut connection, context).await {
+            return;
+        }
+        let request = match timeout(READ_WITHIN, read(&mut connection, context)).await {
+            Ok(Ok(request)) => request,
+            Ok(Err(Fault::Ended)) => return,
+            Ok(Err(fault)) => {
+                let status = match fault {
+                    Fault::LongHead => 431,
+                    Fault::LongBody => 413,
+                    _ => 400,
+                };
+                return refuse_to_read(connection, context, status, &fault.to_string()).await;
+            }
+            Err(_) => {
+                return refuse_to_read(connection, context, 400, "the request did not come whole in time")
+                    .await;
+            }
+        };
+        let keep = request.head.keeps_alive() && served;
+        let Some((head, body)) = answer(&mut connection, context, request, served).await else { return };
+        // Read after the answer is there: the daemon may be on its way out since.
+        let keep = keep && *context.phase.borrow() == Phase::Serving;
+        let mut head = head;
+        head.push(if keep { b"\r\n" as &[u8] } else { b"Connection: close\r\n\r\n" });
+        let chains = [&head, &body];
+        if !matches!(timeout(WRITE_WITHIN, connection.write(&chains)).await, Ok(Ok(()))) {
+            return;
+        }
+        if !keep {
+            return connection.linger().await;
+        }
+    }
+}
+
+/// Waits for the first byte of a request; false if the connection is to be closed.
+async fn awaited(connection: &mut Connection, context: &Context) -> bool {
+    let mut phase = context.phase.clone();
+    let idle = context.budget.idle();
+    tokio::select! {
+        biased;
+        read = connection.fill() => matches!(read, Ok(1..)),
+        _ = phase.wait_for(|phase| *phase == Phase::Closing) => false,
+        () = idle.unwanted() => false,
+        () = tokio::time::sleep(IDLE) => false,
+    }
+}
+
+async fn read(connection: &mut Connection, context: &Context) -> Result<http::Message, Fault> {
+    let head = connection.read_head().await?;
+    head.check_request().map_err(Fault::Malformed)?;
+    let framing = head.framing(Framing::Length(0)).map_err(Fault::Malformed)?;
+    if matches!(framing, Framing::Length(length) if length > http::MAX_BODY as u64) {
+        return Err(Fault::LongBody);
+    }
+    if head.lists("expect", "100-continue") && !connection.has_input() {
+        let mut go_on = context.pool.chain();
+        go_on.push(b"HTTP/1.1 100 Continue\r\n\r\n");
+        connection.write(&[&go_on]).await.map_err(|_| Fault::Ended)?;
+    }
+    let body = connection.read_body(framing).await?;
+    Ok(http::Message { head, body })
+}
+
+/// Answers what could not be read, and closes.
+async fn refuse_to_read(mut connection: Connection, context: &Context, status: u16, why: &str) {
+    let (mut head, body) = plain(&context.pool, status, None, why);
+    head.push(b"Connection: close\r\n\r\n");
+    let chains = [&head, &body];
+    if matches!(timeout(WRITE_WITHIN, connection.write(&chains)).await, Ok(Ok(()))) {
+        connection.linger().await;
+    }
+}
+
+/// The answer to a request, its head still open; none if the client has left.
+async fn answer(
+    connection: &mut Connection,
+    context: &Context,
+    request: http::Message,
+    served: bool,
+) -> Option<(Chain, Chain)> {
+    let pool = &context.pool;
+    match request.head.target().split('?').next() {
+        Some("/health/ready") => {
+            let ready = *context.ready.borrow() && *context.phase.borrow() == Phase::Serving;
+            let (status, text) = if ready { (200, "ready") } else { (503, "not ready") };
+            return Some(plain(pool, status, None, text));
+        }
+        Some("/health/live") => return Some(plain(pool, 200, None, "alive")),
+        _ => {}
+    }
+    let transaction = match transaction(request, context) {
+        Ok(transaction) => transaction,
+        Err(why) => return Some(plain(pool, 400, None, why)),
+    };
+    if !served {
+        return Some(plain(pool, 503, Some(DOOR_PAUSE), "no connection to spare"));
+    }
+    let message = transaction.message.clone();
+    let mut pending = context.decision.ask(transaction);
+    let answer = loop {
+        let listens = connection.waiting() < AHEAD;
+        tokio::select! {
+            biased;
+            answer = pending.answer() => break answer,
+            read = connection.fill(), if listens => {
+                if !matches!(read, Ok(1..)) {
+                    // The client has left; dropping the pending answer tells it.
+                    return None;
+                }
+            }
+        }
+    };
+    Some(match answer {
+        FinalAnswer::Served(Reply::Http(reply)) => {
+            let Message::Http(request) = &*message;
+            passed_on(pool, request, reply)
+        }
+        FinalAnswer::Refused { pause } => plain(pool, 503, Some(pause), "short on capacity"),
+        FinalAnswer::Failed { late: true } => plain(pool, 504, None, "no answer in time"),
+        FinalAnswer::Failed { late: false } => plain(pool, 500, None, "failed"),
+    })
+}
+
+/// What a request says, in terms that no longer depend on HTTP.
+fn transaction(request: http::Message, context: &Context) -> Result<Transaction, &'static str> {
+    let arrived = context.clock.now();
+    let (head, deployment) = (&request.head, &context.deployment);
+    if head.all("x-correlation-id").count() != 1 {
+        return Err("X-Correlation-Id must be given once");
+    }
+    let first = head.target()[1..].split(['/', '?']).next().unwrap_or_default();
+    let name = head.get("x-service-class").unwrap_or(first);
+    let class = deployment.classes.iter().position(|class| class == name).ok_or("unknown service class")?;
+    let named = head.get("x-account");
+    let tenant = named.and_then(|name| deployment.tenants.iter().position(|tenant| tenant == name));
+    let deadline = deployment.settings.classes[class].deadline;
+    let time_left = match head.get("x-time-left") {
+        None => deadline,
+        Some(text) => {
+            let seconds: f64 = text.parse().map_err(|_| "X-Time-Left is no number")?;
+            if !seconds.is_finite() {
+                return Err("X-Time-Left is no number");
+            }
+            // The cast saturates: a negative time left is none.
+            deadline.min((seconds * 1e6) as Micros)
+        }
+    };
+    let key = head.all("cookie").find_map(cookie);
+    Ok(Transaction { class, tenant, key, arrived, time_left, message: Rc::new(Message::Http(request)) })
+}
+
+/// The cookie `user` of a cookie header.
+fn cookie(header: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(header).ok()?;
+    let mut pairs = text.split(';').filter_map(|pair| pair.trim().split_once('='));
+    pairs.find(|(name, _)| *name == "user").map(|(_, value)| value.to_owned())
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Internal Server Error",
+    }
+}
+
+/// An answer of the daemon's own, its head still open.
+fn plain(pool: &Pool, status: u16, pause: Option<Micros>, text: &str) -> (Chain, Chain) {
+    let (mut head, mut body) = (pool.chain(), pool.chain());
+    body.push(text.as_bytes());
+    body.push(b"\n");
+    let line = format!("HTTP/1.1 {status} {}\r\nContent-Type: text/plain\r\n", reason(status));
+    head.push(line.as_bytes());
+    if let Some(pause) = pause {
+        head.push(format!("Retry-After: {:.3}\r\n", pause as f64 / 1e6).as_bytes());
+    }
+    head.push(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    (head, body)
+}
+
+/// An app server's answer, its body unchanged, its head still open.
+fn passed_on(pool: &Pool, request: &http::Message, reply: http::Message) -> (Chain, Chain) {
+    let mut head = pool.chain();
+    head.push(b"HTTP/1.1 200 OK\r\n");
+    http::push_headers(&mut head, &reply.head, &[]);
+    let bare = request.head.method() == "HEAD";
+    if !bare {
+        head.push(format!("Content-Length: {}\r\n", reply.body.len()).as_bytes());
+    }
+    (head, reply.body)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod api;
 mod choice;
+pub mod settings;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,248 @@
+//! The settings object as operators write it, decoded into the module's terms. The adapter gets it
+//! in an instance's first message, the daemon in its configuration file.
+
+use serde::Deserialize;
+
+use crate::api::*;
+
+/// The settings object; unknown fields are skipped.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Config {
+    categories: Vec<Category>,
+    #[serde(default)]
+    realms: Vec<Realm>,
+    #[serde(default)]
+    discovery: String,
+    #[serde(default)]
+    extra: Extra,
+    #[serde(default)]
+    failure_domains: Vec<String>,
+    #[serde(default)]
+    kinds: Vec<String>,
+    limits: Limits,
+    rules: Rules,
+    #[serde(default)]
+    fees: Fees,
+    #[serde(default)]
+    me: u32,
+    my_zone: Option<String>,
+    #[serde(default = "one")]
+    over_share_worth: f64,
+    #[serde(default = "one_gateway")]
+    peers_total: u32,
+    #[serde(default = "one")]
+    tick_ms: f64,
+    #[serde(default)]
+    value_by: String,
+}
+
+pub(crate) fn one() -> f64 {
+    1.0
+}
+
+fn usual_conn_idle() -> f64 {
+    5_000.0
+}
+
+fn usual_dial_timeout() -> f64 {
+    250.0
+}
+
+fn one_gateway() -> u32 {
+    1
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Category {
+    name: String,
+    aim_ms: f64,
+    #[serde(default)]
+    aim_stretch: f64,
+    deadline_ms: f64,
+    #[serde(default = "one")]
+    points: f64,
+    #[serde(default)]
+    late_worth: f64,
+    effect: String,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    window_ms: f64,
+    failure_domains_only: Option<Vec<String>>,
+    runs_on: Option<Vec<String>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Realm {
+    name: String,
+    #[serde(default)]
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase")]
+struct Extra {
+    #[serde(default)]
+    warm_keys: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase")]
+struct Fees {
+    #[serde(default)]
+    cross_zone: f64,
+    #[serde(default)]
+    handshake: f64,
+    #[serde(default)]
+    connection: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Limits {
+    #[serde(default)]
+    cancel: bool,
+    #[serde(default)]
+    probes: bool,
+    #[serde(default)]
+    second_copies: bool,
+    try_limit: Option<u32>,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    max_retry_after_ms: f64,
+    #[serde(default = "usual_conn_idle")]
+    conn_idle_ms: f64,
+    #[serde(default = "usual_dial_timeout")]
+    dial_timeout_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Rules {
+    cold_from: Option<f64>,
+    warm_within_ms: Option<f64>,
+    fall_multiple: Option<f64>,
+    tip_after_ms: Option<f64>,
+    ask_within_ms: Option<f64>,
+    #[serde(default)]
+    dropped_stay_open: bool,
+}
+
+/// Milliseconds as the settings and lists write them.
+pub fn micros(ms: f64) -> Micros {
+    // The cast saturates: negative and non-finite values become 0.
+    (ms * 1000.0).round() as Micros
+}
+
+/// The settings with the names that they give to positions.
+#[derive(Clone, Debug, Default)]
+pub struct Deployment {
+    /// What a [`crate::Balancer`] is told.
+    pub settings: Settings,
+    /// The classes' names, by position.
+    pub classes: Vec<String>,
+    /// The tenants' names, by position.
+    pub tenants: Vec<String>,
+    /// The zones' names; lists may add to them.
+    pub zones: Vec<String>,
+    /// The machine types' names; lists may add to them.
+    pub kinds: Vec<String>,
+    /// Servers close a connection idle for this long.
+    pub conn_idle: Micros,
+    /// A connection that is not up by then has failed.
+    pub dial_timeout: Micros,
+}
+
+impl Config {
+    /// Decodes the object; what makes no sense is named. A zone or kind that only a class names is
+    /// added to the names.
+    pub fn deployment(&self) -> Result<Deployment, String> {
+        let (mut zones, mut kinds) = (self.failure_domains.clone(), self.kinds.clone());
+        let limits = &self.limits;
+        Ok(Deployment {
+            settings: settings(self, &mut zones, &mut kinds)?,
+            classes: self.categories.iter().map(|c| c.name.clone()).collect(),
+            tenants: self.realms.iter().map(|r| r.name.clone()).collect(),
+            zones,
+            kinds,
+            conn_idle: micros(limits.conn_idle_ms),
+            dial_timeout: micros(limits.dial_timeout_ms),
+        })
+    }
+}
+
+fn settings(config: &Config, zones: &mut Vec<String>, kinds: &mut Vec<String>) -> Result<Settings, String> {
+    let base = Settings::default();
+    let places = |list: &Option<Vec<String>>, names: &mut Vec<String>| {
+        list.as_ref().map(|l| l.iter().map(|n| place(names, n)).collect())
+    };
+    let mut classes = Vec::new();
+    for c in &config.categories {
+        let group = match c.group.as_str() {
+            "zone" => Group::Zone,
+            "cell" => Group::Cell,
+            "" | "all" => Group::All,
+            other => return Err(format!("config.categories: unknown group {other}")),
+        };
+        let effect = match c.effect.as_str() {
+            "safe" => Effect::Safe,
+            "keyed" => Effect::Keyed { group, window: micros(c.window_ms) },
+            "unsafe" => Effect::Unsafe,
+            other => return Err(format!("config.categories: unknown effect {other}")),
+        };
+        if c.aim_ms < 0.0 || c.deadline_ms < 0.0 || c.window_ms < 0.0 {
+            return Err(format!("config.categories: {} has a negative time", c.name));
+        }
+        classes.push(Class {
+            aim: micros(c.aim_ms),
+            aim_stretch: c.aim_stretch,
+            deadline: micros(c.deadline_ms),
+            worth: c.points,
+            late_worth: c.late_worth,
+            effect,
+            zones: places(&c.failure_domains_only, zones),
+            kinds: places(&c.runs_on, kinds),
+        });
+    }
+    let (limits, rules) = (&config.limits, &config.rules);
+    let span = |ms: Option<f64>, usual: Micros| ms.map_or(usual, micros);
+    Ok(Settings {
+        classes,
+        tenants: config.realms.iter().map(|r| Tenant { quota: r.quota_per_s }).collect(),
+        over_share_worth: config.over_share_worth,
+        worth_by_work: config.value_by == "work",
+        zone: config.my_zone.as_ref().map(|z| place(zones, z)),
+        me: config.me,
+        gateways: config.peers_total,
+        ask_discovery: config.discovery == "on_request",
+        ask_within: span(rules.ask_within_ms, base.ask_within),
+        warm_keys: config.extra.warm_keys,
+        cancel: limits.cancel,
+        second_copies: limits.second_copies,
+        probes: limits.probes,
+        max_attempts: limits.try_limit.unwrap_or(base.max_attempts),
+        max_pause: if limits.retry_after { micros(limits.max_retry_after_ms) } else { 0 },
+        cold_from: rules.cold_from.unwrap_or(base.cold_from),
+        warm_within: span(rules.warm_within_ms, base.warm_within),
+        fall_multiple: rules.fall_multiple.unwrap_or(base.fall_multiple),
+        fall_after: span(rules.tip_after_ms, base.fall_after),
+        only_draining_binds: rules.dropped_stay_open,
+        tick: micros(config.tick_ms),
+        cross_zone_price: config.fees.cross_zone,
+        handshake_price: config.fees.handshake,
+        connection_price: config.fees.connection,
+    })
+}
+
+/// The position of a name, added if it is new.
+pub fn place(names: &mut Vec<String>, name: &str) -> u32 {
+    let at = names.iter().position(|n| n == name).unwrap_or_else(|| {
+        names.push(name.to_owned());
+        names.len() - 1
+    });
+    at as u32
+}
