--- a/daemon/src/app_server.rs
+++ b/daemon/src/app_server.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lichenusher::Micros;
+use gradepaddle::Micros;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
--- a/daemon/src/clock.rs
+++ b/daemon/src/clock.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use lichenusher::Micros;
+use gradepaddle::Micros;
 use tokio::time::Instant;
 
 /// The daemon's clock: microseconds of Unix time.
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use lichenusher::settings::{Config as SettingsObject, Deployment};
+use gradepaddle::settings::{Config as SettingsObject, Deployment};
 use serde::Deserialize;
 
 use crate::service_table::Listing;
--- a/daemon/src/decision.rs
+++ b/daemon/src/decision.rs
@@ -6,7 +6,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::rc::Rc;
 
-use lichenusher::{Action, Arrival, Balancer, Ended, Event, Id, ListKind, Micros, Outcome, Server};
+use gradepaddle::{Action, Arrival, Balancer, Ended, Event, Id, ListKind, Micros, Outcome, Server};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 use tracing::{error, info, warn};
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lichenusher::Balancer;
+use gradepaddle::Balancer;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
--- a/daemon/src/routed_task.rs
+++ b/daemon/src/routed_task.rs
@@ -3,7 +3,7 @@
 
 use std::rc::Rc;
 
-use lichenusher::{Micros, Outcome};
+use gradepaddle::{Micros, Outcome};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep_until, timeout};
--- a/daemon/src/service_table.rs
+++ b/daemon/src/service_table.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lichenusher::settings::{Deployment, micros, place};
-use lichenusher::{Id, ListKind, Micros, Server, State};
+use gradepaddle::settings::{Deployment, micros, place};
+use gradepaddle::{Id, ListKind, Micros, Server, State};
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
--- a/daemon/src/terminal.rs
+++ b/daemon/src/terminal.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lichenusher::Micros;
-use lichenusher::settings::Deployment;
+use gradepaddle::Micros;
+use gradepaddle::settings::Deployment;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
--- a/daemon/src/transaction.rs
+++ b/daemon/src/transaction.rs
@@ -4,7 +4,7 @@
 
 use std::rc::Rc;
 
-use lichenusher::Micros;
+use gradepaddle::Micros;
 
 use crate::http;
 
--- a/src/bin/lichenusher-simhost.rs
+++ b/src/bin/gradepaddle-simhost.rs
@@ -8,11 +8,11 @@
 fn main() -> ExitCode {
     let stdin = io::stdin().lock();
     let stdout = io::stdout().lock();
-    match lichenusher::wire::serve(stdin, stdout) {
+    match gradepaddle::wire::serve(stdin, stdout) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             // Nothing more can be done if standard error is closed as well.
-            let _ = writeln!(io::stderr(), "lichenusher-simhost: {error}");
+            let _ = writeln!(io::stderr(), "gradepaddle-simhost: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! same events give the same actions. Servers are chosen by locality-aware request distribution.
 //!
 //! ```
-//! use lichenusher::{Action, Arrival, Balancer, Ended, Event, ListKind, Outcome, Server, Settings, State};
+//! use gradepaddle::{Action, Arrival, Balancer, Ended, Event, ListKind, Outcome, Server, Settings, State};
 //!
 //! let mut balancer = Balancer::new(Settings::default(), 7)?;
 //! let mut actions = Vec::new();
@@ -20,7 +20,7 @@
 //!     request: "r1", attempt: 0, outcome: Outcome::Ok, took: 900, closed: true, report: None,
 //! };
 //! balancer.handle(2_000, Event::Ended(ended), &mut actions);
-//! # Ok::<(), lichenusher::SettingsError>(())
+//! # Ok::<(), gradepaddle::SettingsError>(())
 //! ```
 
 mod api;
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
-use lichenusher::*;
+use gradepaddle::*;
 
 fn keys_to_servers(count: u8) -> BTreeMap<u32, String> {
     let mut map = BTreeMap::new();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A balancer with shorthand for the tests.
 #![allow(dead_code)]
 
-use lichenusher::*;
+use gradepaddle::*;
 
 pub struct Bench {
     pub balancer: Balancer,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use lichenusher::*;
+use gradepaddle::*;
 use proptest::prelude::*;
 
 #[derive(Clone, Debug)]
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The adapter on small hand-written rounds.
 
-use lichenusher::wire::serve;
+use gradepaddle::wire::serve;
 
 const CONFIG: &str = r#"{"categories":[{"name":"c","aimMs":300.0,"deadlineMs":1500.0,"effect":"safe"}],"limits":{"tryLimit":4},"rules":{},"peersTotal":1,"me":0,"unknown":true}"#;
 
