Give every refusal a pause, so that Retry-After always says when to come back

Seen: the module answers what it gives up on at once (checked: again, wake and arrive in src/choice.rs end a request in the event that ends its last hope, and attempts last until the aim, not the deadline). But here refusals told no pause: the settings decoder set max_pause to 0 where limits.retryAfter is off, and wake and arrive passed 0. Done: max_pause is limits.maxRetryAfterMs whatever limits.retryAfter says; all refusals go through one pause() with a floor of 50 ms. Conclusion: no decision moves; a refusal now carries advice.

--- a/src/api.rs
+++ b/src/api.rs
@@ -109,7 +109,7 @@
     pub probes: bool,
     /// Attempts a request may have in all.
     pub max_attempts: u32,
-    /// The longest pause that a client heeds; 0 if clients heed none.
+    /// The longest pause that a refused client is told.
     pub max_pause: Micros,
     /// A server starts at this fraction of its capacity or more.
     pub cold_from: f64,
@@ -158,7 +158,7 @@
             second_copies: true,
             probes: false,
             max_attempts: 3,
-            max_pause: 0,
+            max_pause: 2_000_000,
             cold_from: 0.15,
             warm_within: 20_000_000,
             fall_multiple: 3.0,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -51,6 +51,8 @@
 /// One that does not answer is tried again after this, then later; once dropped, forgotten after that.
 const TRIAL: Micros = 500_000;
 const FORGET: Micros = 60_000_000;
+/// The shortest pause that a refused client is told.
+const LEAST_PAUSE: Micros = 50_000;
 /// Keys in each half of the table.
 const KEYS: usize = 20_000;
 
@@ -494,7 +496,8 @@
             return;
         }
         let Some(c) = self.settings.classes.get(class) else {
-            out.push(Action::Refuse { request: id, pause: 0 });
+            let pause = self.pause(0);
+            out.push(Action::Refuse { request: id, pause });
             return;
         };
         let work = hint.filter(|h| h.is_finite() && *h > 0.0).unwrap_or(c.aim as f64 / 8.0);
@@ -534,7 +537,7 @@
         };
         self.recall(now, key_hash);
         let Some(mut pick) = self.choose(now, &r, self.may_repeat(&r, now), false, false) else {
-            let pause = self.settings.max_pause.min(ttl / 4);
+            let pause = self.pause(ttl / 4);
             out.push(Action::Refuse { request: id, pause });
             return;
         };
@@ -560,7 +563,7 @@
         // whose traffic leaps loses some until its first answers.
         let crowd = f64::from(seen.out) > SPARE + 2.0 * seen.ended;
         if crowd || over > 0.0 {
-            let pause = (over as Micros).max(if crowd { aim } else { 0 }).min(self.settings.max_pause);
+            let pause = self.pause((over as Micros).max(if crowd { aim } else { 0 }));
             out.push(Action::Refuse { request: id, pause });
             return;
         }
@@ -716,8 +719,7 @@
             }
         }
         let soon = self.classes[r.class].typical as Micros;
-        let pause = if left <= 0.0 { self.settings.max_pause } else { soon.min(self.settings.max_pause) };
-        self.finish(id, pause, out);
+        self.finish(id, if left <= 0.0 { Micros::MAX } else { soon }, out);
     }
 
     fn finish(&mut self, id: &Id, pause: Micros, out: &mut Vec<Action>) {
@@ -725,7 +727,7 @@
         if !r.closed {
             self.withdraw(&id, &r, None, out);
             r.closed = true;
-            let request = id.clone();
+            let (request, pause) = (id.clone(), self.pause(pause));
             out.push(if self.may_refuse(&r) {
                 Action::Refuse { request, pause }
             } else {
@@ -735,6 +737,11 @@
         self.keep(id, r);
     }
 
+    /// What a refused client is told: never no pause at all, or it is back while nothing has changed.
+    fn pause(&self, wanted: Micros) -> Micros {
+        wanted.max(LEAST_PAUSE).min(self.settings.max_pause)
+    }
+
     fn withdraw(&self, id: &Id, r: &Request, but: Option<usize>, out: &mut Vec<Action>) {
         for (i, a) in r.attempts.iter().enumerate() {
             if self.settings.cancel && a.outcome.is_none() && Some(i) != but {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -110,10 +110,7 @@
     #[serde(default)]
     second_copies: bool,
     try_limit: Option<u32>,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    max_retry_after_ms: f64,
+    max_retry_after_ms: Option<f64>,
     #[serde(default = "usual_conn_idle")]
     conn_idle_ms: f64,
     #[serde(default = "usual_dial_timeout")]
@@ -225,7 +222,8 @@
         second_copies: limits.second_copies,
         probes: limits.probes,
         max_attempts: limits.try_limit.unwrap_or(base.max_attempts),
-        max_pause: if limits.retry_after { micros(limits.max_retry_after_ms) } else { 0 },
+        // Also where clients are not known to heed it: a refusal always says when to come back.
+        max_pause: limits.max_retry_after_ms.map_or(base.max_pause, micros),
         cold_from: rules.cold_from.unwrap_or(base.cold_from),
         warm_within: span(rules.warm_within_ms, base.warm_within),
         fall_multiple: rules.fall_multiple.unwrap_or(base.fall_multiple),
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -949,3 +949,29 @@
     let paused = |a: &Action| matches!(a, Action::Refuse { pause, .. } if *pause > 0);
     assert!(bench.out.iter().any(paused), "no attempt is left: refused in the same event, with a pause");
 }
+
+/// Guards against a refusal that does not say when to come back: at the door, for an unknown class, and
+/// where the request has run out of time, nothing is kept waiting and the pause is never none.
+#[test]
+fn every_refusal_says_when_to_come_back() {
+    let pause = |bench: &Bench| match bench.out.as_slice() {
+        [Action::Refuse { pause, .. }] => *pause,
+        other => panic!("one refusal and nothing else, not {other:?}"),
+    };
+    let mut bench = Bench::new(Settings::default());
+    bench.list(0, ListKind::Full, Vec::new());
+    bench.arrive(1_000, "no server", "k", 10_000.0);
+    assert_eq!(pause(&bench), 1_500_000 / 4);
+    let class = Settings::default().classes.len();
+    let id = "no class".into();
+    bench.event(1_000, Event::Request(Arrival { id, class, tenant: None, ttl: 9, hint: None, key: None }));
+    assert_eq!(pause(&bench), 50_000);
+
+    let mut bench = Bench::with_servers(Settings { max_attempts: 1, ..Settings::default() }, 2);
+    bench.arrive(1_000, "turned away", "k", 10_000.0);
+    bench.end(2_000, "turned away", 0, Outcome::Full, 1_000);
+    assert_eq!(pause(&bench), 50_000, "nothing is known of usual times yet");
+    bench.arrive(3_000, "late", "k", 10_000.0);
+    bench.end(1_003_000, "late", 0, Outcome::TimedOut, 1_000_000);
+    assert_eq!(pause(&bench), 2_000_000, "given up when its aim has passed, long before its deadline");
+}
