Test the daemon as a process; a failure with attempts still out is 504

Seen: a transaction that failed at its deadline while its attempt was still out was answered 500. The module's own timer and the attempt's end fall on the same microsecond; when the timer came first, decision.rs knew no time-out yet. Done: Open::is_late counts attempts that are still out. Thirteen tests start the program and talk to it as clients, app servers and discovery. X-Time-Left is cut to the millisecond, not rounded up past what the client has. Conclusion: 504 where no answer came in time, 500 otherwise.

--- a/daemon/src/decision.rs
+++ b/daemon/src/decision.rs
@@ -121,6 +121,13 @@
     late: bool,
 }
 
+impl Open {
+    /// True if it is for want of an answer that it fails, not for an answer that was bad.
+    fn is_late(&self) -> bool {
+        self.late || self.attempts.iter().any(|attempt| attempt.out)
+    }
+}
+
 struct Attempt {
     sent: Micros,
     /// Its outcome is still to come.
@@ -318,7 +325,7 @@
             Action::Send { request, server, until } => self.send(now, &request, &server, until),
             Action::Refuse { request, pause } => self.finish(&request, |_| FinalAnswer::Refused { pause }),
             Action::Fail { request } => {
-                self.finish(&request, |open| FinalAnswer::Failed { late: open.late });
+                self.finish(&request, |open| FinalAnswer::Failed { late: open.is_late() });
             }
             Action::Cancel { request, attempt } => {
                 let open = self.tickets.get(&request).and_then(|ticket| self.open.get_mut(ticket));
--- a/daemon/src/routed_task.rs
+++ b/daemon/src/routed_task.rs
@@ -136,8 +136,7 @@
     let parts = [request.head.method(), " ", request.head.target(), " HTTP/1.1\r\n"];
     parts.iter().for_each(|part| head.push(part.as_bytes()));
     http::push_headers(&mut head, &request.head, &["x-time-left"]);
-    let seconds = left as f64 / 1e6;
-    head.push(format!("X-Time-Left: {seconds:.3}\r\n").as_bytes());
+    head.push(format!("X-Time-Left: {}.{:03}\r\n", left / 1_000_000, left / 1000 % 1000).as_bytes());
     if !request.body.is_empty() || !matches!(request.head.method(), "GET" | "HEAD") {
         head.push(format!("Content-Length: {}\r\n", request.body.len()).as_bytes());
     }
--- /dev/null
+++ b/daemon/tests/network/main.rs
@@ -0,0 +1,367 @@
+//! The daemon as a process on real sockets: each test is its clients, its app servers and discovery.
+
+mod rig;
+
+use insta::assert_snapshot;
+use rig::{Rig, host, local, program, request};
+
+/// Guards the ordinary path: what is passed on, unchanged, both ways, and connections used again.
+#[test]
+fn a_request_is_passed_on_and_its_answer_back() {
+    let rig = Rig::start(1);
+    let mut client = rig.client();
+    client.say(
+        &request("POST", "order", "c1", "two beams").replace("X-Account", "X-Time-Left: 0.5\r\nX-Account"),
+    );
+    let (_, mut server) = rig.accept(&[0]);
+    assert_snapshot!(server.message(), @r"
+    POST /order?q=1 HTTP/1.1
+    Host: origin.svc
+    X-Correlation-Id: c1
+    X-Account: acme
+    X-Service-Class: order
+    Cookie: a=b; user=u1
+    X-Time-Left: up to 0.5
+    Content-Length: 9
+
+    two beams
+    ");
+    server.say(
+        "HTTP/1.1 200 Fine\r\nContent-Type: text/x\r\nKeep-Alive: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+    );
+    server.say("3\r\nyes\r\n1;x=y\r\n!\r\n0\r\nTrailer: t\r\n\r\n");
+    assert_snapshot!(client.message(), @r"
+    HTTP/1.1 200 OK
+    Content-Type: text/x
+    Content-Length: 4
+
+    yes!
+    ");
+    client.look("c2");
+    assert!(server.message().starts_with("GET /look?q=1 "), "on the same connection");
+    server.ok("again");
+    assert!(client.message().ends_with("\nagain"));
+}
+
+/// Guards against a body that no longer fits: 64 KiB and its head cross many buffers.
+#[test]
+fn the_longest_bodies_pass_both_ways_unchanged() {
+    let rig = Rig::start(1);
+    let body: String = (0..64 * 1024).map(|i| char::from(b'a' + (i % 23) as u8)).collect();
+    let mut client = rig.client();
+    client.say(&request("POST", "order", "c1", &body));
+    let (_, mut server) = rig.accept(&[0]);
+    assert!(server.message().ends_with(&body));
+    server.ok(&body);
+    assert!(client.message().ends_with(&body));
+}
+
+/// Guards against an unsafe request that runs twice: behind its last byte anything may have run, so a
+/// break, an error or a refusal without the proof ends it, and never as a refusal.
+#[test]
+fn an_unsafe_request_that_may_have_run_is_not_sent_again() {
+    for (id, answer) in [
+        ("c1", ""),
+        ("c2", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"),
+        ("c3", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"),
+        ("c4", "HTTP/1.1 429 No\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"),
+        ("c5", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut"),
+        ("c6", "nonsense\r\n\r\n"),
+    ] {
+        let rig = Rig::start(2);
+        let mut client = rig.client();
+        client.order(id);
+        let (_, mut server) = rig.accept(&[0, 1]);
+        assert!(server.message().contains(id));
+        server.say(answer);
+        drop(server);
+        assert_eq!(client.status(), "500 Internal Server Error", "{id}");
+        assert!((0..2).all(|at| rig.try_accept(at).is_none()), "{id} was not sent again");
+    }
+}
+
+/// Guards the other side of that rule: what provably never ran is tried elsewhere, and so is what may
+/// be repeated.
+#[test]
+fn what_never_ran_or_is_safe_is_tried_elsewhere() {
+    let rig = Rig::start(2);
+    for (id, safe, answer) in [
+        (
+            "c1",
+            false,
+            "HTTP/1.1 503 Full\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+        ),
+        ("c2", true, ""),
+    ] {
+        let mut client = rig.client();
+        if safe {
+            client.look(id)
+        } else {
+            client.order(id)
+        }
+        let (at, mut server) = rig.accept(&[0, 1]);
+        server.message();
+        server.say(answer);
+        drop(server);
+        let (_, mut other) = rig.accept(&[1 - at]);
+        assert!(other.message().contains(id));
+        other.say("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\ndone");
+        assert!(client.message().ends_with("done"), "{id}");
+    }
+}
+
+/// Guards against a reused connection that the app server closed meanwhile: it is seen before a byte is
+/// written, and a new one is opened.
+#[test]
+fn a_closed_idle_connection_is_not_used() {
+    let rig = Rig::start(1);
+    let mut client = rig.client();
+    client.order("c1");
+    let (_, mut server) = rig.accept(&[0]);
+    server.message();
+    server.ok("one");
+    client.message();
+    drop(server);
+    client.order("c2");
+    let (_, mut server) = rig.accept(&[0]);
+    assert!(server.message().contains("c2"));
+    server.ok("two");
+    assert!(client.message().ends_with("two"));
+}
+
+/// Guards against input that hangs, panics or is let through: each gets its definite answer.
+#[test]
+fn what_cannot_be_read_gets_a_definite_answer() {
+    let rig = Rig::start(1);
+    let order = |with: &str| format!("POST /order HTTP/1.1\r\nX-Correlation-Id: c\r\n{with}\r\n");
+    let long = "x".repeat(20_000);
+    let cases = [
+        ("no request", "hello\r\n\r\n".to_owned()),
+        ("no path", "GET look HTTP/1.1\r\n\r\n".to_owned()),
+        ("another version", "GET /look HTTP/2.0\r\n\r\n".to_owned()),
+        ("a header without colon", order("nonsense\r\n")),
+        ("a folded header", order("A: b\r\n c\r\n")),
+        ("both framings", order("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n")),
+        ("lengths that differ", order("Content-Length: 1\r\nContent-Length: 2\r\n")),
+        ("a length that is none", order("Content-Length: +1\r\n")),
+        ("an unknown coding", order("Transfer-Encoding: gzip, chunked\r\n")),
+        ("a chunk without size", order("Transfer-Encoding: chunked\r\n") + "zz\r\n"),
+        ("a chunk too long for its size", order("Transfer-Encoding: chunked\r\n") + "1\r\nab\r\n"),
+        ("a body too long", order("Content-Length: 65537\r\n")),
+        ("chunks too long", order("Transfer-Encoding: chunked\r\n") + "fffffffffffffffff\r\n"),
+        ("a head too long", format!("GET /{long} HTTP/1.1\r\n\r\n")),
+        ("an unknown class", "GET /other HTTP/1.1\r\nX-Correlation-Id: c\r\n\r\n".to_owned()),
+        ("no id", "GET /look HTTP/1.1\r\n\r\n".to_owned()),
+        ("a time left that is none", order("X-Time-Left: soon\r\n")),
+        ("no time left", order("X-Time-Left: -1\r\n")),
+        ("live", "GET /health/live HTTP/1.1\r\n\r\n".to_owned()),
+    ];
+    let answers: Vec<_> = cases
+        .iter()
+        .map(|(name, text)| {
+            let mut client = rig.client();
+            client.say(text);
+            format!("{name}: {}", client.status())
+        })
+        .collect();
+    assert!(rig.try_accept(0).is_none(), "none was passed on");
+    assert_snapshot!(answers.join("\n"));
+}
+
+/// Guards against requests that get mixed up: pipelined ones, and two with the same id in flight.
+#[test]
+fn pipelined_and_duplicate_requests_get_their_own_answers() {
+    let rig = Rig::start(1);
+    let (mut client, mut twin) = (rig.client(), rig.client());
+    let chunked = "POST /order HTTP/1.1\r\nX-Correlation-Id: c1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n";
+    client.say(&(chunked.to_owned() + &request("POST", "order", "c2", "second")));
+    let (_, mut first) = rig.accept(&[0]);
+    assert!(first.message().ends_with("\nhi"));
+    twin.say(chunked);
+    let (_, mut second) = rig.accept(&[0]);
+    assert!(second.message().ends_with("\nhi"));
+    second.ok("to the twin");
+    assert!(twin.message().ends_with("to the twin"));
+    first.ok("to the first");
+    assert!(client.message().ends_with("to the first"));
+    // The pipelined one goes out on the connection that was used last.
+    let text = first.message();
+    assert!(text.ends_with("second"), "{text}");
+    first.ok("to the second");
+    assert!(client.message().ends_with("to the second"));
+}
+
+/// Guards against sends to an app server that drains, and against a list that is misread: changes come
+/// over the watch, in order, and unknown fields and states are tolerated.
+#[test]
+fn a_drain_told_by_the_watch_binds() {
+    let rig = Rig::start(2);
+    let (a, b) = (local(&rig.servers[0]), local(&rig.servers[1]));
+    let (asked, mut watch) = rig.watch(r#"{"seq":7,"whole":false,"hosts":[]}"#);
+    assert_eq!(asked.lines().next(), Some("GET /registry/instances?stream=1&index=7 HTTP/1.1"));
+    watch.chunk("");
+    watch.chunk(&format!(
+        r#"{{"seq":9,"whole":false,"hosts":[{},{{"odd":1}}],"x":0}}"#,
+        host("a", a, "draining")
+    ));
+    rig.logged("seq=9");
+    // Older than what is held: passed over.
+    watch.chunk(&format!(r#"{{"seq":8,"whole":false,"hosts":[{}]}}"#, host("a", a, "up")));
+    rig.logged("older");
+    let mut client = rig.client();
+    for id in ["c1", "c2", "c3"] {
+        client.order(id);
+        let (_, mut server) = rig.accept(&[1]);
+        server.message();
+        server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        assert_eq!(client.status(), "200 OK");
+    }
+    watch.chunk(&format!(
+        r#"{{"seq":10,"whole":false,"hosts":[{},{}]}}"#,
+        host("b", b, "dreaming"),
+        host("a", a, "removed")
+    ));
+    rig.logged("seq=10");
+    client.order("c4");
+    assert_snapshot!(client.message(), @r"
+    HTTP/1.1 503 Service Unavailable
+    Content-Type: text/plain
+    Retry-After: 1.500
+    Content-Length: 18
+
+    short on capacity
+    ");
+    // A watch that ends is opened anew from where the table stands.
+    drop(watch);
+    rig.logged("watch broken");
+    let (asked, _watch) =
+        rig.watch(&format!(r#"{{"seq":12,"whole":true,"hosts":[{}]}}"#, host("b", b, "up")));
+    assert_eq!(asked.lines().next(), Some("GET /registry/instances?stream=1&index=10 HTTP/1.1"));
+    rig.logged("seq=12");
+    client.order("c5");
+    let (_, mut server) = rig.accept(&[1]);
+    server.message();
+    server.ok("");
+    assert_eq!(client.status(), "200 OK");
+}
+
+/// Guards against a client left without an answer: an app server that says nothing costs 504 in time.
+#[test]
+fn a_silent_app_server_costs_a_failure_by_the_deadline() {
+    let rig = Rig::start(1);
+    let mut client = rig.client();
+    let begun = std::time::Instant::now();
+    client.say(&request("POST", "order", "c1", "x").replace("X-Account", "X-Time-Left: 0.3\r\nX-Account"));
+    let (_, mut server) = rig.accept(&[0]);
+    server.message();
+    assert_eq!(client.status(), "504 Gateway Timeout");
+    assert!(begun.elapsed().as_millis() >= 300, "the client's whole time was used");
+    assert!(server.ended(), "the attempt was given up");
+}
+
+/// Guards against work for clients that have left.
+#[test]
+fn an_attempt_is_withdrawn_when_its_client_leaves() {
+    let rig = Rig::start(1);
+    let mut client = rig.client();
+    client.look("c1");
+    let (_, mut server) = rig.accept(&[0]);
+    server.message();
+    drop(client);
+    assert!(server.ended());
+}
+
+/// Guards against connections that use the descriptors up: what is beyond the budget is refused, with a
+/// pause, and idle clients make room.
+#[test]
+fn beyond_the_descriptor_budget_clients_are_refused_or_make_room() {
+    let rig = Rig::with(1, 64);
+    let live = "GET /health/live HTTP/1.1\r\n\r\n";
+    let mut busy: Vec<_> = (0..8).map(|_| rig.client()).collect();
+    for client in &mut busy {
+        // Behind this answer the daemon holds the first byte of a request, so the terminal is not idle.
+        client.say(&format!("{live}G"));
+        assert_eq!(client.status(), "200 OK");
+    }
+    let mut beyond = rig.client();
+    beyond.order("beyond");
+    assert_snapshot!(beyond.message(), @r"
+    HTTP/1.1 503 Service Unavailable
+    Content-Type: text/plain
+    Retry-After: 0.500
+    Content-Length: 23
+    Connection: close
+
+    no connection to spare
+    ");
+    for client in &mut busy {
+        client.say(&live[1..]);
+        assert_eq!(client.status(), "200 OK");
+    }
+    // All are idle now; the one that has been so for longest goes when another comes.
+    drop(busy.pop());
+    let mut another = rig.client();
+    another.say(live);
+    another.status();
+    assert!(busy[0].ended());
+}
+
+/// Guards planned restarts: not ready, but answering all that comes, and gone once that is done.
+#[test]
+fn sigterm_answers_what_has_come_and_ends() {
+    let mut rig = Rig::start(1);
+    let (mut client, mut idle, mut asker) = (rig.client(), rig.client(), rig.client());
+    let ready = "GET /health/ready HTTP/1.1\r\n\r\n";
+    asker.say(ready);
+    assert_eq!(asker.status(), "200 OK");
+    client.order("c1");
+    let (_, mut server) = rig.accept(&[0]);
+    server.message();
+    rig.terminate();
+    rig.logged("SIGTERM");
+    asker.say(ready);
+    assert_eq!(asker.status(), "503 Service Unavailable");
+    let mut late = rig.client();
+    late.order("c2");
+    let (_, mut other) = rig.accept(&[0]);
+    other.message();
+    other.ok("late");
+    let answer = late.message();
+    assert!(answer.contains("Connection: close") && answer.ends_with("late"), "{answer}");
+    assert!(late.ended());
+    rig.logged("closing");
+    assert!(idle.ended(), "an idle connection is closed");
+    server.ok("done");
+    assert!(client.message().ends_with("done"));
+    assert_eq!(rig.exit(), Some(0));
+}
+
+/// Guards operators against a daemon that starts on nonsense: it names the field and does not start.
+#[test]
+fn a_bad_configuration_is_named_and_ends_the_program() {
+    let good = format!(
+        r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","settings":{}}}"#,
+        rig::SETTINGS
+    );
+    let cases = [
+        good.replace("\"1f\"", "\"xyz\""),
+        good.replace("127.0.0.1:0", "here"),
+        good.replace("\"name\":\"n\",", ""),
+        good.replace("unsafe", "unsound"),
+        good.replace("\"deadlineMs\":6000", "\"deadlineMs\":\"long\""),
+        good.replace("\"deadlineMs\":6000", "\"deadlineMs\":0"),
+        good.replace("\"seed\"", "\"limits\":{\"sockets\":3},\"seed\""),
+        good.replace("settings", "setting"),
+        "{".to_owned(),
+    ];
+    let mut faults = Vec::new();
+    for case in cases {
+        let (mut command, folder) = program(&case);
+        let output = command.output().expect("the daemon");
+        assert_eq!(output.status.code(), Some(1));
+        let text = String::from_utf8_lossy(&output.stdout).replace(&folder.display().to_string(), "");
+        faults.push(text.split("ERROR ").nth(1).unwrap_or(&text).trim().to_owned());
+        std::fs::remove_dir_all(folder).expect("the folder");
+    }
+    assert_snapshot!(faults.join("\n"));
+}
--- /dev/null
+++ b/daemon/tests/network/rig.rs
@@ -0,0 +1,225 @@
+//! The daemon as a process, with the test as its clients, app servers and discovery.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
+
+/// Nothing here takes this long unless it never comes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+static SERIAL: AtomicU32 = AtomicU32::new(0);
+
+pub struct Rig {
+    child: Child,
+    log: Receiver<String>,
+    pub address: SocketAddr,
+    pub servers: Vec<TcpListener>,
+    discovery: TcpListener,
+    folder: PathBuf,
+}
+
+/// One end of a connection: of a client, an app server or discovery.
+pub struct End(pub TcpStream);
+
+pub const SETTINGS: &str = r#"{"categories":[
+    {"name":"look","aimMs":1200,"deadlineMs":5000,"effect":"safe"},
+    {"name":"order","aimMs":2000,"deadlineMs":6000,"effect":"unsafe"}],
+    "realms":[{"name":"acme","quotaPerS":100}],"discovery":"on_request","failureDomains":["north"],
+    "extra":{"warmKeys":true},"kinds":["std"],
+    "limits":{"cancel":true,"secondCopies":true,"connIdleMs":5000,"dialTimeoutMs":250,"tryLimit":6,
+    "maxRetryAfterMs":2000,"ever":"more"},"rules":{},"someday":[1]}"#;
+
+/// Runs the program with this configuration.
+pub fn program(config: &str) -> (Command, PathBuf) {
+    let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("gradepaddle-{}-{serial}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder for the configuration");
+    let path = folder.join("config.json");
+    std::fs::write(&path, config).expect("the configuration");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_gradepaddle"));
+    command.env_clear().env("RELAY_CONFIG", path).stdout(Stdio::piped()).stdin(Stdio::null());
+    (command, folder)
+}
+
+pub fn host(id: &str, dial: SocketAddr, health: &str) -> String {
+    format!(
+        r#"{{"host":"{id}","dial":"{dial}","site":"north","class":"std","block":0,"health":"{health}","moon":1}}"#
+    )
+}
+
+impl Rig {
+    /// The daemon with app servers a, b ...; ready, its watch not yet accepted.
+    pub fn start(count: u8) -> Rig {
+        Self::with(count, 1024)
+    }
+
+    pub fn with(count: u8, sockets: u32) -> Rig {
+        let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
+        let servers: Vec<_> = (0..count).map(|_| bind()).collect();
+        let discovery = bind();
+        let hosts: Vec<_> =
+            servers.iter().zip('a'..).map(|(s, id)| host(&id.to_string(), local(s), "up")).collect();
+        let config = format!(
+            r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{}","seed":"1f","limits":{{"sockets":{sockets}}},
+            "known":{{"seq":7,"whole":true,"hosts":[{}]}},"settings":{SETTINGS}}}"#,
+            local(&discovery),
+            hosts.join(",")
+        );
+        let (mut command, folder) = program(&config);
+        let mut child = command.spawn().expect("the daemon");
+        let output = BufReader::new(child.stdout.take().expect("its output"));
+        let (lines, log) = channel();
+        std::thread::spawn(move || output.lines().map_while(Result::ok).all(|l| lines.send(l).is_ok()));
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut rig = Rig { child, log, address, servers, discovery, folder };
+        let line = rig.logged("started");
+        let listen = line.split("listen=").nth(1).and_then(|rest| rest.split(' ').next());
+        rig.address = listen.and_then(|text| text.parse().ok()).expect("the address in the log");
+        if count > 0 {
+            rig.logged(" ready ");
+        }
+        rig
+    }
+
+    /// Waits for a log line with this text.
+    pub fn logged(&self, text: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("{text:?} in the log"));
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    pub fn client(&self) -> End {
+        End::new(TcpStream::connect(self.address).expect("the daemon accepts"))
+    }
+
+    /// The next connection at an app server, whichever it is of these.
+    pub fn accept(&self, among: &[usize]) -> (usize, End) {
+        let end = std::time::Instant::now() + PATIENCE;
+        while std::time::Instant::now() < end {
+            for at in among {
+                if let Some(stream) = self.try_accept(*at) {
+                    return (*at, stream);
+                }
+            }
+            std::thread::yield_now();
+        }
+        panic!("a connection to one of {among:?}");
+    }
+
+    pub fn try_accept(&self, at: usize) -> Option<End> {
+        self.servers[at].set_nonblocking(true).expect("a socket");
+        self.servers[at].accept().ok().map(|(stream, _)| {
+            stream.set_nonblocking(false).expect("a socket");
+            End::new(stream)
+        })
+    }
+
+    /// Accepts the next watch, and answers its head and this list.
+    pub fn watch(&self, list: &str) -> (String, End) {
+        let (stream, _) = self.discovery.accept().expect("a watch");
+        let mut end = End::new(stream);
+        let request = end.message();
+        end.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        end.chunk(list);
+        (request, end)
+    }
+
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+    }
+
+    pub fn exit(&mut self) -> Option<i32> {
+        self.child.wait().expect("its end").code()
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        // It may have ended already; the folder is temporary either way.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub fn local(listener: &TcpListener) -> SocketAddr {
+    listener.local_addr().expect("an address")
+}
+
+impl End {
+    pub fn new(stream: TcpStream) -> End {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        stream.set_nodelay(true).expect("a socket");
+        End(stream)
+    }
+
+    pub fn say(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).expect("the other end reads");
+    }
+
+    pub fn chunk(&mut self, line: &str) {
+        self.say(&format!("{:x}\r\n{line}\n\r\n", line.len() + 1));
+    }
+
+    /// One message with the body that its length announces, as text without carriage returns. What
+    /// the clock decides is made the same.
+    pub fn message(&mut self) -> String {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            self.0.read_exact(&mut byte).expect("a whole head");
+            head.push(byte[0]);
+        }
+        let head = String::from_utf8(head).expect("text").replace('\r', "");
+        let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: "));
+        let mut body = vec![0; length.map_or(0, |n| n.parse().expect("a number"))];
+        self.0.read_exact(&mut body).expect("a whole body");
+        let same = |line: &str| match line.strip_prefix("X-Time-Left: ").map(str::parse) {
+            Some(Ok(0.3..=0.5)) => "X-Time-Left: up to 0.5".to_owned(),
+            _ => line.to_owned(),
+        };
+        let lines: Vec<_> = head.lines().map(same).collect();
+        lines.join("\n") + "\n" + &String::from_utf8_lossy(&body)
+    }
+
+    pub fn status(&mut self) -> String {
+        self.message().lines().next().unwrap_or_default().replace("HTTP/1.1 ", "")
+    }
+
+    pub fn ok(&mut self, body: &str) {
+        self.say(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
+
+    /// Waits until the other side has ended the connection.
+    pub fn ended(&mut self) -> bool {
+        let mut rest = Vec::new();
+        match self.0.read_to_end(&mut rest) {
+            Ok(_) => rest.is_empty(),
+            Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
+
+    pub fn look(&mut self, id: &str) {
+        self.say(&request("GET", "look", id, ""));
+    }
+
+    pub fn order(&mut self, id: &str) {
+        self.say(&request("POST", "order", id, "two beams"));
+    }
+}
+
+pub fn request(method: &str, class: &str, id: &str, body: &str) -> String {
+    let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    format!(
+        "{method} /{class}?q=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Correlation-Id: {id}\r\nX-Account: acme\r\n\
+         X-Service-Class: {class}\r\nCookie: a=b; user=u1\r\n{length}\r\n{body}"
+    )
+}
