Ask the kernel whether a reused app server connection is still open

Checked: Connection::is_quiet in http/mod.rs used try_read, which trusts the readiness that tokio remembers; an end of file that came since the event queue was last read is not in it. Parking and reuse are in order, ruled out. Done: is_quiet peeks at the socket (socket2, which tokio brings already).

--- a/daemon/src/http/mod.rs
+++ b/daemon/src/http/mod.rs
@@ -185,11 +185,13 @@
         Ok(())
     }
 
-    /// True if the other side has neither ended nor said anything out of turn.
+    /// True if the other side has neither ended nor said anything out of turn. Asks the kernel itself:
+    /// what tokio remembers of the socket is from the last time that the event queue was read, and a
+    /// request written behind an end that came since would count as one that may have run.
     pub fn is_quiet(&self) -> bool {
-        let mut byte = [0];
-        let open = matches!(self.stream.try_read(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
-        open && self.inbox.is_empty()
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock) && self.inbox.is_empty()
     }
 
     /// Ends our side after a last answer and waits a moment for the other: closing with bytes unread
