Pass an app server's own answer on when a transaction fails; property tests

Seen: every failure was the daemon's own 500, so a client never read what its order was turned down for (a 422, say). Done: a routed task hands on whole answers that are errors too; on Fail the last one goes to the client with its status and headers. A 429 or 503 is never passed on: it would be a refusal where the request may have run. Property tests with a fixed seed for chunks and heads, cut anywhere. Conclusion: the same decisions, and clients learn why.

--- a/daemon/src/decision.rs
+++ b/daemon/src/decision.rs
@@ -99,7 +99,7 @@
     pub async fn answer(&mut self) -> FinalAnswer {
         let answer = (&mut self.answered).await;
         self.done = true;
-        answer.unwrap_or(FinalAnswer::Failed { late: false })
+        answer.unwrap_or(FinalAnswer::Failed { late: false, reply: None })
     }
 }
 
@@ -119,6 +119,8 @@
     attempts: Vec<Attempt>,
     /// The last outcome was a time-out.
     late: bool,
+    /// What came with the last outcome, if that is no success.
+    reply: Option<Reply>,
 }
 
 impl Open {
@@ -225,7 +227,7 @@
         let Some(answer) = open.answer.take() else { return };
         error!(transaction = %open.id, "defect: no final answer by the deadline; it failed");
         // The client may have left just now.
-        let _ = answer.send(FinalAnswer::Failed { late: true });
+        let _ = answer.send(FinalAnswer::Failed { late: true, reply: None });
         self.left(now, ticket);
     }
 
@@ -267,7 +269,14 @@
         let Transaction { class, tenant, key, arrived, time_left, message } = transaction;
         let id: Id = format!("{}-{ticket}", self.name).into();
         let ends = arrived.saturating_add(time_left);
-        let open = Open { id: id.clone(), message, answer: Some(answer), attempts: Vec::new(), late: false };
+        let open = Open {
+            id: id.clone(),
+            message,
+            answer: Some(answer),
+            attempts: Vec::new(),
+            late: false,
+            reply: None,
+        };
         self.open.insert(ticket, open);
         self.tickets.insert(id.clone(), ticket);
         self.deadlines.push(Reverse((ends.saturating_add(BACKSTOP), ticket)));
@@ -289,11 +298,14 @@
         of.out = false;
         let took = now.saturating_sub(of.sent);
         open.late = outcome == Outcome::TimedOut;
-        if let Some(reply) = reply
-            && let Some(answer) = open.answer.take()
-        {
-            // A client that has left just now has no use for it.
-            let _ = answer.send(FinalAnswer::Served(reply));
+        match (outcome, reply) {
+            (Outcome::Ok, Some(reply)) => {
+                if let Some(answer) = open.answer.take() {
+                    // A client that has left just now has no use for it.
+                    let _ = answer.send(FinalAnswer::Served(reply));
+                }
+            }
+            (_, reply) => open.reply = reply,
         }
         let (id, closed) = (open.id.clone(), open.answer.is_none());
         let ended = Ended { request: &id, attempt, outcome, took, closed, report: None };
@@ -325,7 +337,10 @@
             Action::Send { request, server, until } => self.send(now, &request, &server, until),
             Action::Refuse { request, pause } => self.finish(&request, |_| FinalAnswer::Refused { pause }),
             Action::Fail { request } => {
-                self.finish(&request, |open| FinalAnswer::Failed { late: open.is_late() });
+                self.finish(&request, |open| {
+                    let late = open.is_late();
+                    FinalAnswer::Failed { late, reply: open.reply.take().filter(|_| !late) }
+                });
             }
             Action::Cancel { request, attempt } => {
                 let open = self.tickets.get(&request).and_then(|ticket| self.open.get_mut(ticket));
@@ -372,7 +387,7 @@
         }
     }
 
-    fn finish(&mut self, request: &Id, answer: impl FnOnce(&Open) -> FinalAnswer) {
+    fn finish(&mut self, request: &Id, answer: impl FnOnce(&mut Open) -> FinalAnswer) {
         let Some(ticket) = self.tickets.get(request).copied() else { return };
         if let Some(open) = self.open.get_mut(&ticket)
             && let Some(owed) = open.answer.take()
--- a/daemon/src/http/head.rs
+++ b/daemon/src/http/head.rs
@@ -113,6 +113,17 @@
         }
     }
 
+    /// An answer's status with its reason.
+    pub fn status_line(&self) -> &str {
+        let line = self.first[1].start..self.first[2].end;
+        std::str::from_utf8(&self.text[line]).unwrap_or_default()
+    }
+
+    /// True if an answer of this status has no body, whatever its headers say.
+    pub fn is_bare(&self) -> bool {
+        matches!(self.part(1), "204" | "304")
+    }
+
     /// The values of a field.
     pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
         let named = move |(n, _): &&(Range<usize>, Range<usize>)| {
--- a/daemon/src/http/mod.rs
+++ b/daemon/src/http/mod.rs
@@ -227,3 +227,81 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+    use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+    use super::*;
+
+    /// The same cases at every run.
+    fn runner() -> TestRunner {
+        TestRunner::new(Config {
+            rng_seed: RngSeed::Fixed(7),
+            failure_persistence: None,
+            ..Config::default()
+        })
+    }
+
+    /// Guards against a body that depends on how the network cut it: chunks come back whole, and what
+    /// follows them stays for the next message.
+    #[test]
+    fn chunks_are_read_whole_however_they_arrive() {
+        let parts = prop::collection::vec(prop::collection::vec(any::<u8>(), 1..6000), 0..6);
+        let check = |(parts, cut): (Vec<Vec<u8>>, usize)| {
+            let mut text = Vec::new();
+            for part in &parts {
+                text.extend(format!("{:X};a=b\r\n", part.len()).bytes());
+                text.extend(part);
+                text.extend(b"\r\n");
+            }
+            text.extend(b"0\r\nA: b\r\n\r\nnext");
+            let pool = Pool::default();
+            let (mut inbox, mut body) = (pool.chain(), pool.chain());
+            let (mut chunks, mut done) = (Chunks::new(MAX_BODY), false);
+            for piece in text.chunks(cut) {
+                inbox.push(piece);
+                done = done || chunks.take(&mut inbox, &mut body).expect("well formed");
+            }
+            prop_assert!(done);
+            prop_assert_eq!(body.copy(body.len()), parts.concat());
+            prop_assert_eq!(inbox.copy(inbox.len()), b"next");
+            Ok(())
+        };
+        runner().run(&(parts, 1..9000usize), check).expect("all cases");
+    }
+
+    /// Guards against a panic on any input, and against a head whose end depends on the cut.
+    #[test]
+    fn any_head_is_parsed_or_turned_down() {
+        let line = prop_oneof![
+            Just("GET /a?b HTTP/1.1".to_owned()),
+            Just("Content-Length: 5, 5".to_owned()),
+            Just("Transfer-Encoding: chunked".to_owned()),
+            "[ -~]{0,40}",
+            "\\PC{0,20}",
+        ];
+        let lines = (prop::collection::vec(line, 1..8), any::<bool>(), 0..200usize);
+        let check = |(lines, bare, cut): (Vec<String>, bool, usize)| {
+            let lines: Vec<_> = lines.into_iter().filter(|line| !line.is_empty()).collect();
+            let newline = if bare { "\n" } else { "\r\n" };
+            let text = lines.join(newline) + newline + newline;
+            let mut inbox = Pool::default().chain();
+            inbox.push(text.as_bytes());
+            prop_assume!(!lines.is_empty());
+            let end = head::end(&inbox, 0);
+            prop_assert_eq!(end, Some(text.len()));
+            prop_assert_eq!(head::end(&inbox, cut.min(text.len() - 1)), end);
+            if let Ok(head) = Head::parse(text.into_bytes()) {
+                let request = head.check_request().is_ok();
+                prop_assert!(!request || head.target().starts_with('/'));
+                let framing = head.framing(Framing::Length(0));
+                let both = head.get("content-length").is_some() && head.get("transfer-encoding").is_some();
+                prop_assert!(!both || framing.is_err());
+            }
+            Ok(())
+        };
+        runner().run(&lines, check).expect("all cases");
+    }
+}
--- a/daemon/src/routed_task.rs
+++ b/daemon/src/routed_task.rs
@@ -158,7 +158,7 @@
             Err(_) => return End::of(Outcome::Error),
         }
     };
-    let bare = request.head.method() == "HEAD" || matches!(status, 204 | 304);
+    let bare = request.head.method() == "HEAD" || head.is_bare();
     let framing = if bare { Ok(Framing::Length(0)) } else { head.framing(Framing::UntilClose) };
     let Ok(framing) = framing else { return End::of(Outcome::Error) };
     let body = match connection.read_body(framing).await {
@@ -172,6 +172,9 @@
         _ => Outcome::Error,
     };
     let usable = framing != Framing::UntilClose && head.keeps_alive() && !connection.has_input();
-    let reply = (outcome == Outcome::Ok).then(|| Reply::Http(http::Message { head, body }));
+    // A refusal says that trying again is harmless, whoever words it, so an app server's is never
+    // passed on: here the request may have run.
+    let passes = matches!(outcome, Outcome::Ok | Outcome::Error) && !matches!(status, 429 | 503);
+    let reply = passes.then(|| Reply::Http(http::Message { head, body }));
     End { outcome, reply, connection: usable.then_some(connection) }
 }
--- a/daemon/src/terminal.rs
+++ b/daemon/src/terminal.rs
@@ -230,13 +230,14 @@
         }
     };
     Some(match answer {
-        FinalAnswer::Served(Reply::Http(reply)) => {
+        FinalAnswer::Served(Reply::Http(reply))
+        | FinalAnswer::Failed { reply: Some(Reply::Http(reply)), .. } => {
             let Message::Http(request) = &*message;
             passed_on(pool, request, reply)
         }
         FinalAnswer::Refused { pause } => plain(pool, 503, Some(pause), "short on capacity"),
-        FinalAnswer::Failed { late: true } => plain(pool, 504, None, "no answer in time"),
-        FinalAnswer::Failed { late: false } => plain(pool, 500, None, "failed"),
+        FinalAnswer::Failed { late: true, .. } => plain(pool, 504, None, "no answer in time"),
+        FinalAnswer::Failed { .. } => plain(pool, 500, None, "failed"),
     })
 }
 
@@ -304,10 +305,9 @@
 /// An app server's answer, its body unchanged, its head still open.
 fn passed_on(pool: &Pool, request: &http::Message, reply: http::Message) -> (Chain, Chain) {
     let mut head = pool.chain();
-    head.push(b"HTTP/1.1 200 OK\r\n");
+    head.push(format!("HTTP/1.1 {}\r\n", reply.head.status_line()).as_bytes());
     http::push_headers(&mut head, &reply.head, &[]);
-    let bare = request.head.method() == "HEAD";
-    if !bare {
+    if request.head.method() != "HEAD" && !reply.head.is_bare() {
         head.push(format!("Content-Length: {}\r\n", reply.body.len()).as_bytes());
     }
     (head, reply.body)
--- a/daemon/src/transaction.rs
+++ b/daemon/src/transaction.rs
@@ -49,5 +49,7 @@
     Failed {
         /// No app server answered in time.
         late: bool,
+        /// The last app server's own words, if it said any that may be passed on.
+        reply: Option<Reply>,
     },
 }
