Close an idle app server connection as soon as the app server does

Checked: the peek of the socket is right, but the end of file can reach the kernel after the next request does: the two ends cross on different cores, so the test waited on nothing that proves it had come. Done: an app server's actor now watches its idle connections and closes its own side at once; the test waits for that before it asks again. The peek stays. Conclusion: less is written to dead connections, and the test waits on events.

--- a/daemon/src/app_server.rs
+++ b/daemon/src/app_server.rs
@@ -1,7 +1,9 @@
 //! One actor for each app server: it holds the idle connections to it and starts its routed tasks.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use gradepaddle::Micros;
@@ -84,13 +86,17 @@
                 idle.remove(0);
                 continue;
             }
+            at = stirred(&idle) => {
+                idle.remove(at);
+                continue;
+            }
             command = inbox.recv() => command,
         };
         match command {
             Some(Command::Start(assignment)) => {
                 let mut reused = None;
                 while let Some(last) = idle.pop() {
-                    // An app server that has restarted or closed it leaves an end of file here.
+                    // It may have been closed since we last looked.
                     if last.connection.is_quiet() {
                         reused = Some(last.connection);
                         break;
@@ -116,3 +122,13 @@
         }
     }
 }
+
+/// The first idle connection that its app server has closed, or spoken on out of turn: an app server
+/// that restarts leaves dead connections, and a request written to one counts as having run.
+async fn stirred(idle: &[Idle]) -> usize {
+    poll_fn(|cx| {
+        let at = idle.iter().position(|one| one.connection.poll_stirred(cx).is_ready());
+        at.map_or(Poll::Pending, Poll::Ready)
+    })
+    .await
+}
--- a/daemon/src/http/mod.rs
+++ b/daemon/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod head;
 
 use std::io;
+use std::task::{Context, Poll};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -194,6 +195,18 @@
         matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock) && self.inbox.is_empty()
     }
 
+    /// Ready once an idle connection is no longer quiet.
+    pub fn poll_stirred(&self, cx: &mut Context<'_>) -> Poll<()> {
+        while self.stream.poll_read_ready(cx).is_ready() {
+            // Reading nothing clears what woke us, so that a false alarm is waited out.
+            let nothing = self.stream.try_read(&mut [0]);
+            if !matches!(nothing, Err(e) if e.kind() == io::ErrorKind::WouldBlock) {
+                return Poll::Ready(());
+            }
+        }
+        Poll::Pending
+    }
+
     /// Ends our side after a last answer and waits a moment for the other: closing with bytes unread
     /// would reset the connection, and the answer might be lost with it.
     pub async fn linger(mut self) {
--- a/daemon/tests/network/main.rs
+++ b/daemon/tests/network/main.rs
@@ -128,8 +128,8 @@
     }
 }
 
-/// Guards against a reused connection that the app server closed meanwhile: it is seen before a byte is
-/// written, and a new one is opened.
+/// Guards against a request written to a connection that the app server has closed meanwhile: the daemon
+/// closes its side as soon as it learns, and opens a new one for the next request.
 #[test]
 fn a_closed_idle_connection_is_not_used() {
     let rig = Rig::start(1);
@@ -139,7 +139,8 @@
     server.message();
     server.ok("one");
     client.message();
-    drop(server);
+    server.0.shutdown(std::net::Shutdown::Write).expect("a socket");
+    assert!(server.ended());
     client.order("c2");
     let (_, mut server) = rig.accept(&[0]);
     assert!(server.message().contains("c2"));
