--- a/daemon/src/decision.rs
+++ b/daemon/src/decision.rs
@@ -398,3 +398,42 @@
         self.settle(ticket);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use gradepaddle::Settings;
+
+    use super::*;
+
+    /// Guards against a transaction that the decisions forget: past its deadline it fails by itself, once.
+    #[tokio::test(flavor = "current_thread")]
+    async fn a_forgotten_transaction_fails_at_the_backstop() {
+        let balancer = Balancer::new(Settings::default(), 1).expect("settings");
+        let ((mailbox, _inbox), (table, _asks)) = (Mailbox::new(), mpsc::unbounded_channel());
+        let (ready, _) = watch::channel(false);
+        let mut decision = Decision::new(balancer, "n".into(), Clock::start(), mailbox, table, ready);
+        let (answer, mut answered) = oneshot::channel();
+        let head = crate::http::Head::parse(b"GET / HTTP/1.1\r\n\r\n".to_vec()).expect("a head");
+        let body = crate::buffers::Pool::default().chain();
+        let message = Rc::new(Message::Http(crate::http::Message { head, body }));
+        let id: Id = "n-1".into();
+        let open = Open {
+            id: id.clone(),
+            message,
+            answer: Some(answer),
+            attempts: Vec::new(),
+            late: false,
+            reply: None,
+        };
+        decision.open.insert(1, open);
+        decision.tickets.insert(id, 1);
+        let now = decision.clock.now();
+        decision.deadlines.push(Reverse((now + 60_000_000, 1)));
+        decision.wake();
+        assert!(answered.try_recv().is_err(), "not before its time");
+        decision.deadlines.push(Reverse((now, 1)));
+        decision.wake();
+        assert!(matches!(answered.try_recv(), Ok(FinalAnswer::Failed { late: true, reply: None })));
+        assert!(decision.open.is_empty() && decision.tickets.is_empty());
+    }
+}
