--- a/daemon/src/service_table.rs
+++ b/daemon/src/service_table.rs
@@ -104,10 +104,9 @@
             // One call ends in one failure, however often it was asked for meanwhile.
             while inbox.try_recv().is_ok() {}
             warn!(discovery = %self.discovery, seq = self.seq, "watch broken: {why}");
-            let nothing = Vec::new();
             self.decision.table(Change {
                 kind: ListKind::Failed,
-                servers: nothing,
+                servers: Vec::new(),
                 added: Vec::new(),
                 forgotten: Vec::new(),
             });
--- a/daemon/src/terminal.rs
+++ b/daemon/src/terminal.rs
@@ -136,10 +136,9 @@
             }
         };
         let keep = request.head.keeps_alive() && served;
-        let Some((head, body)) = answer(&mut connection, context, request, served).await else { return };
+        let Some((mut head, body)) = answer(&mut connection, context, request, served).await else { return };
         // Read after the answer is there: the daemon may be on its way out since.
         let keep = keep && *context.phase.borrow() == Phase::Serving;
-        let mut head = head;
         head.push(if keep { b"\r\n" as &[u8] } else { b"Connection: close\r\n\r\n" });
         let chains = [&head, &body];
         if !matches!(timeout(WRITE_WITHIN, connection.write(&chains)).await, Ok(Ok(()))) {
