Read the configuration anew at SIGHUP and move the watch to the new discovery

Cause: main.rs registered SIGTERM alone, so SIGHUP had its default effect; there was no way to tell the table of another address either. Changed: main.rs catches both signals before anything else; the file is read and checked whole (config.rs), a fault is logged with its field and nothing changes; a new discovery goes to the table as a move, which ends the watch and opens the next at once, without the back-off of a failure. The list holds meanwhile, its version does not: the watch asks from 0. RELAY_DISCOVERY is older than the replaced file, so there the file goes first.

--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -50,24 +50,45 @@
     }
 }
 
+/// When the file is read.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Occasion {
+    /// At the start: a variable that is set goes before the file.
+    Start,
+    /// The file has been replaced: its `discovery` goes before the variable, which is older.
+    Anew,
+}
+
 /// The fewest descriptors that leave room for both sides.
 const FEWEST_SOCKETS: usize = 64;
 
 impl Config {
-    /// Reads variables by `variable` and the file by `RELAY_CONFIG`; says plainly what is wrong. A
-    /// variable that is set goes before the file.
-    pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+    /// Reads variables by `variable` and the file by `RELAY_CONFIG`; says plainly what is wrong.
+    pub fn read(variable: impl Fn(&str) -> Option<String>, on: Occasion) -> Result<Self, String> {
         let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
-        Self::parse(&text, variable).map_err(|fault| format!("{path}: {fault}"))
+        Self::parse(&text, variable, on).map_err(|fault| format!("{path}: {fault}"))
+    }
+
+    /// The fields that differ in `fresh` and are heeded only at a start.
+    pub fn unheeded(&self, fresh: &Config) -> Vec<&'static str> {
+        let differ = [
+            ("name", self.name != fresh.name),
+            ("listen", self.listen != fresh.listen),
+            ("limits", self.sockets != fresh.sockets),
+            ("settings", self.deployment != fresh.deployment),
+        ];
+        differ.iter().filter(|(_, differs)| *differs).map(|(field, _)| *field).collect()
     }
 
-    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>, on: Occasion) -> Result<Self, String> {
         let mut reader = serde_json::Deserializer::from_str(text);
         let file: File = serde_path_to_error::deserialize(&mut reader)
             .map_err(|e| format!("field {}: {}", e.path(), e.inner()))?;
         let told = |name: &str, field: &str, value: Option<String>| {
-            let told = variable(name).or(value);
+            let variable = variable(name);
+            let newer = on == Occasion::Anew && field == "discovery" && value.is_some();
+            let told = if newer { value } else { variable.or(value) };
             told.ok_or(format!("field {field} is missing and {name} is not set"))
         };
         let address = |field: &str, text: String| {
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -21,13 +21,13 @@
 
 use gradepaddle::Balancer;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tracing::{error, info};
+use tracing::{error, info, warn};
 
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{Config, Occasion};
 use crate::decision::Decision;
 use crate::service_table::ServiceTable;
 use crate::terminal::Phase;
@@ -37,7 +37,7 @@
 
 fn main() -> ExitCode {
     tracing_subscriber::fmt().with_target(false).with_ansi(false).init();
-    let config = match Config::read(|name| std::env::var(name).ok()) {
+    let config = match Config::read(variable, Occasion::Start) {
         Ok(config) => config,
         Err(fault) => {
             error!("configuration: {fault}");
@@ -60,8 +60,36 @@
     }
 }
 
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+/// Reads the configuration anew at each SIGHUP. What is bad changes nothing.
+async fn reload(mut hangup: Signal, mut config: Config, table: service_table::Mailbox) {
+    while hangup.recv().await.is_some() {
+        let fresh = match Config::read(variable, Occasion::Anew) {
+            Ok(fresh) => fresh,
+            Err(fault) => {
+                error!("SIGHUP: the configuration in use is kept: {fault}");
+                continue;
+            }
+        };
+        info!(discovery = %fresh.discovery, "SIGHUP: configuration read anew");
+        for field in config.unheeded(&fresh) {
+            warn!("SIGHUP: field {field} has changed; that is heeded at the next start");
+        }
+        if fresh.discovery != config.discovery {
+            config.discovery = fresh.discovery;
+            // The table ends only with the process.
+            let _ = table.send(service_table::Ask::Move(fresh.discovery));
+        }
+    }
+}
+
 /// Serves until SIGTERM, then until all is answered.
-async fn serve(config: Config) -> Result<(), String> {
+async fn serve(mut config: Config) -> Result<(), String> {
+    // Caught from the start on: either of them would end the process.
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("field listen: {}: {e}", config.listen))?;
@@ -75,7 +103,8 @@
     let (decision, events) = decision::Mailbox::new();
     let (table, asks) = mpsc::unbounded_channel();
 
-    let deciding = Decision::new(balancer, config.name.clone(), clock, decision.clone(), table, ready);
+    let deciding =
+        Decision::new(balancer, config.name.clone(), clock, decision.clone(), table.clone(), ready);
     let mut deciding = spawn_local(deciding.run(events));
     let app_servers = Rc::new(app_server::Context {
         pool: pool.clone(),
@@ -84,13 +113,15 @@
         dial_timeout: Duration::from_micros(config.deployment.dial_timeout),
         conn_idle: config.deployment.conn_idle,
     });
-    let table = ServiceTable::new(config.discovery, config.deployment.clone(), decision.clone(), app_servers);
-    let mut listing = spawn_local(table.run(config.known, asks));
+    let listing =
+        ServiceTable::new(config.discovery, config.deployment.clone(), decision.clone(), app_servers);
+    let mut listing = spawn_local(listing.run(std::mem::take(&mut config.known), asks));
     let (alive, mut ended) = mpsc::channel(1);
-    let deployment = config.deployment;
+    let deployment = config.deployment.clone();
     let terminals = terminal::Context { pool, clock, budget, deployment, decision, ready: is_ready, phase };
     let mut accepting = spawn_local(terminal::accept(listener, Rc::new(terminals), alive));
     info!(name = config.name, listen = %address, discovery = %config.discovery, "started");
+    spawn_local(reload(hangup, config, table));
 
     let leaving = async {
         terminate.recv().await;
--- a/daemon/src/service_table.rs
+++ b/daemon/src/service_table.rs
@@ -32,6 +32,8 @@
 pub enum Ask {
     /// Open a watch.
     Watch,
+    /// Discovery is at this address from now on.
+    Move(SocketAddr),
 }
 
 /// The mailbox of the table.
@@ -99,10 +101,21 @@
     /// Starts from the last list and watches whenever asked to.
     pub async fn run(mut self, known: Listing, mut inbox: mpsc::UnboundedReceiver<Ask>) {
         self.apply(known, ListKind::Cached);
-        while let Some(Ask::Watch) = inbox.recv().await {
-            let why = self.watch().await;
-            // One call ends in one failure, however often it was asked for meanwhile.
-            while inbox.try_recv().is_ok() {}
+        while let Some(ask) = inbox.recv().await {
+            if let Ask::Move(to) = ask {
+                self.moved(to);
+            }
+            // A move ends a watch for no fault, so it goes on at once at the new address.
+            let why = loop {
+                tokio::select! {
+                    biased;
+                    to = next_move(&mut inbox) => match to {
+                        Some(to) => self.moved(to),
+                        None => return,
+                    },
+                    why = self.watch() => break why,
+                }
+            };
             warn!(discovery = %self.discovery, seq = self.seq, "watch broken: {why}");
             self.decision.table(Change {
                 kind: ListKind::Failed,
@@ -113,6 +126,13 @@
         }
     }
 
+    /// Turns to another discovery. The table holds until that has told its list, but not its version:
+    /// another discovery counts its own, and changes after ours might mean nothing there.
+    fn moved(&mut self, to: SocketAddr) {
+        info!(from = %self.discovery, %to, "discovery has moved");
+        (self.discovery, self.seq) = (to, 0);
+    }
+
     /// Watches until the watch ends, and says why it did.
     async fn watch(&mut self) -> String {
         let Some(permit) = self.context.budget.take(Side::Server) else {
@@ -268,6 +288,16 @@
     }
 }
 
+/// The next move. Meanwhile a watch is on, so others that are asked for are not wanted: one call ends in
+/// one failure.
+async fn next_move(inbox: &mut mpsc::UnboundedReceiver<Ask>) -> Option<SocketAddr> {
+    loop {
+        if let Ask::Move(to) = inbox.recv().await? {
+            return Some(to);
+        }
+    }
+}
+
 impl Known {
     fn tell(&mut self, entry: Entry) {
         if self.entry != entry {
--- a/daemon/tests/network/main.rs
+++ b/daemon/tests/network/main.rs
@@ -355,6 +355,44 @@
     assert_eq!(rig.exit(), Some(0));
 }
 
+/// Guards against a daemon that ends at SIGHUP, or stays with a discovery that has gone: the watch moves at
+/// once, asks from the beginning since versions may not carry over, and the table holds meanwhile.
+#[test]
+fn sighup_moves_the_watch_and_a_bad_file_changes_nothing() {
+    let rig = Rig::start(2);
+    let (a, b) = (local(&rig.servers[0]), local(&rig.servers[1]));
+    let (asked, mut watch) = rig.watch(r#"{"seq":9,"whole":false,"hosts":[]}"#);
+    assert_eq!(asked.lines().next(), Some("GET /registry/instances?stream=1&index=7 HTTP/1.1"));
+    let old = format!("\"discovery\":\"{}\"", local(&rig.discovery));
+    rig.reload(&old, "\"discovery\":\"nowhere\"");
+    let line = rig.logged("the configuration in use is kept");
+    assert!(line.contains("field discovery: \"nowhere\""), "{line}");
+    watch.chunk(r#"{"seq":10,"whole":false,"hosts":[]}"#);
+    rig.logged("seq=10");
+    let new = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    rig.reload("\"discovery\":\"nowhere\"", &format!("\"discovery\":\"{}\"", local(&new)));
+    rig.logged("discovery has moved");
+    assert!(watch.ended(), "the old watch is given up");
+    let mut client = rig.client();
+    client.look("c1");
+    let (_, mut server) = rig.accept(&[0, 1]);
+    server.message();
+    server.ok("held");
+    assert!(client.message().ends_with("held"));
+    let list =
+        format!(r#"{{"seq":3,"whole":true,"hosts":[{},{}]}}"#, host("a", a, "draining"), host("b", b, "up"));
+    let (asked, mut watch) = Rig::watch_at(&new, &list);
+    assert_eq!(asked.lines().next(), Some("GET /registry/instances?stream=1&index=0 HTTP/1.1"));
+    rig.logged("seq=3 kind=Full");
+    watch.chunk(r#"{"seq":4,"whole":false,"hosts":[]}"#);
+    rig.logged("seq=4");
+    // What only a start heeds is said, and the watch stays as it is.
+    rig.reload("\"aimMs\":1200", "\"aimMs\":1300");
+    rig.logged("field settings has changed");
+    watch.chunk(r#"{"seq":5,"whole":false,"hosts":[]}"#);
+    rig.logged("seq=5");
+}
+
 /// Guards operators against a daemon that starts on nonsense: it names the field and does not start.
 #[test]
 fn a_bad_configuration_is_named_and_ends_the_program() {
--- a/daemon/tests/network/rig.rs
+++ b/daemon/tests/network/rig.rs
@@ -18,7 +18,7 @@
     log: Receiver<String>,
     pub address: SocketAddr,
     pub servers: Vec<TcpListener>,
-    discovery: TcpListener,
+    pub discovery: TcpListener,
     folder: PathBuf,
 }
 
@@ -70,6 +70,8 @@
             hosts.join(",")
         );
         let (mut command, folder) = program(&config);
+        // As on the platform, the variable says at the start what the file says.
+        command.env("RELAY_DISCOVERY", local(&discovery).to_string());
         let mut child = command.spawn().expect("the daemon");
         let output = BufReader::new(child.stdout.take().expect("its output"));
         let (lines, log) = channel();
@@ -123,7 +125,11 @@
 
     /// Accepts the next watch, and answers its head and this list.
     pub fn watch(&self, list: &str) -> (String, End) {
-        let (stream, _) = self.discovery.accept().expect("a watch");
+        Self::watch_at(&self.discovery, list)
+    }
+
+    pub fn watch_at(discovery: &TcpListener, list: &str) -> (String, End) {
+        let (stream, _) = discovery.accept().expect("a watch");
         let mut end = End::new(stream);
         let request = end.message();
         end.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -132,8 +138,21 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces this text in the configuration and sends SIGHUP.
+    pub fn reload(&self, old: &str, new: &str) {
+        let path = self.folder.join("config.json");
+        let text = std::fs::read_to_string(&path).expect("the configuration");
+        assert!(text.contains(old));
+        std::fs::write(path, text.replace(old, new)).expect("the configuration");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
     }
 
     pub fn exit(&mut self) -> Option<i32> {
--- a/src/api.rs
+++ b/src/api.rs
@@ -40,7 +40,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time of the request's arrival has its full worth.
     pub aim: Micros,
@@ -71,7 +71,7 @@
 }
 
 /// A tenant and its share.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Requests a second, over all gateways, that count as within its share.
     pub quota: f64,
@@ -79,7 +79,7 @@
 
 /// What a gateway is told at its start. [`Settings::default`] is a gateway on its own with one
 /// safe class, no tenants, no zones and no reports.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Classes; requests name theirs by position.
     pub classes: Vec<Class>,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -136,7 +136,7 @@
 }
 
 /// The settings with the names that they give to positions.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Deployment {
     /// What a [`crate::Balancer`] is told.
     pub settings: Settings,
