Keep clients' connections for the second after SIGTERM

Seen: after the reload, 15% of the requests of one window fail, all while one balancer leaves and the other is not yet back. Ruled out: the module (a log line at each refusal of arrive: none), 400s and the door (a log line at each accept and request: none), a late start (its health is asked 16 ms after it is up; clients come 0.61 s after that on their own account, whatever it answers). Cause of the part that is ours: terminal.rs ended each connection with its answer from SIGTERM on, so clients needed a new one while the front had none to give. They are kept until the daemon closes, a second later.

--- a/daemon/src/terminal.rs
+++ b/daemon/src/terminal.rs
@@ -34,9 +34,9 @@
 pub enum Phase {
     /// Not at all.
     Serving,
-    /// No longer ready: all is answered, and each answer ends its connection.
+    /// No longer ready, but all is answered as before.
     Leaving,
-    /// Nothing more is accepted, and idle connections are closed.
+    /// Nothing more is accepted, idle connections are closed, and each answer ends its connection.
     Closing,
 }
 
@@ -137,8 +137,9 @@
         };
         let keep = request.head.keeps_alive() && served;
         let Some((mut head, body)) = answer(&mut connection, context, request, served).await else { return };
-        // Read after the answer is there: the daemon may be on its way out since.
-        let keep = keep && *context.phase.borrow() == Phase::Serving;
+        // Read after the answer is there: the daemon may be on its way out since. While it only leaves, the
+        // connection stays: its client has a balancer here, and the front may have no other to give it.
+        let keep = keep && *context.phase.borrow() < Phase::Closing;
         head.push(if keep { b"\r\n" as &[u8] } else { b"Connection: close\r\n\r\n" });
         let chains = [&head, &body];
         if !matches!(timeout(WRITE_WITHIN, connection.write(&chains)).await, Ok(Ok(()))) {
