--- a/daemon/src/decision.rs
+++ b/daemon/src/decision.rs
@@ -3,7 +3,7 @@
 
 use std::cell::Cell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::rc::Rc;
 
 use gradepaddle::{Action, Arrival, Balancer, Ended, Event, Id, ListKind, Micros, Outcome, Server};
@@ -114,6 +114,8 @@
 /// A transaction until it is answered and its last attempt has ended.
 struct Open {
     id: Id,
+    /// Its client's id, which no other may use meanwhile.
+    own: Rc<[u8]>,
     message: Rc<Message>,
     answer: Option<oneshot::Sender<FinalAnswer>>,
     attempts: Vec<Attempt>,
@@ -148,6 +150,8 @@
     app_servers: HashMap<Id, app_server::Mailbox>,
     open: HashMap<Ticket, Open>,
     tickets: HashMap<Id, Ticket>,
+    /// The clients' ids of those that are open.
+    own: HashSet<Rc<[u8]>>,
     wakes: BinaryHeap<Reverse<Micros>>,
     deadlines: BinaryHeap<Reverse<(Micros, Ticket)>>,
     actions: Vec<Action>,
@@ -173,6 +177,7 @@
             app_servers: HashMap::new(),
             open: HashMap::new(),
             tickets: HashMap::new(),
+            own: HashSet::new(),
             wakes: BinaryHeap::new(),
             deadlines: BinaryHeap::new(),
             actions: Vec::new(),
@@ -266,11 +271,18 @@
         transaction: Transaction,
         answer: oneshot::Sender<FinalAnswer>,
     ) {
-        let Transaction { class, tenant, key, arrived, time_left, message } = transaction;
+        let Transaction { own, class, tenant, key, arrived, time_left, message } = transaction;
+        if !self.own.insert(own.clone()) {
+            // App servers know requests by their clients' ids: two at once could get each other's answers,
+            // and the second would look like a copy of the first. Its client may have left just now.
+            let _ = answer.send(FinalAnswer::Known);
+            return;
+        }
         let id: Id = format!("{}-{ticket}", self.name).into();
         let ends = arrived.saturating_add(time_left);
         let open = Open {
             id: id.clone(),
+            own,
             message,
             answer: Some(answer),
             attempts: Vec::new(),
@@ -320,6 +332,7 @@
             && let Some(open) = self.open.remove(&ticket)
         {
             self.tickets.remove(&open.id);
+            self.own.remove(&open.own);
         }
     }
 
@@ -419,6 +432,7 @@
         let id: Id = "n-1".into();
         let open = Open {
             id: id.clone(),
+            own: Rc::from(*b"c1"),
             message,
             answer: Some(answer),
             attempts: Vec::new(),
--- a/daemon/src/http/head.rs
+++ b/daemon/src/http/head.rs
@@ -23,14 +23,18 @@
 /// `searched` bytes were looked at before.
 pub fn end(inbox: &Chain, searched: usize) -> Option<usize> {
     let from = searched.saturating_sub(3);
-    let mut line = 1;
-    for (at, byte) in inbox.bytes().enumerate().skip(from) {
-        match byte {
-            b'\n' if line == 0 => return Some(at + 1),
-            b'\n' => line = 0,
-            b'\r' => {}
-            _ => line += 1,
+    let (mut line, mut start) = (1, 0);
+    for slice in inbox.slices() {
+        // Whole buffers that were searched are stepped over: a head may come byte by byte.
+        for (at, byte) in slice.iter().enumerate().skip(from.saturating_sub(start)) {
+            match byte {
+                b'\n' if line == 0 => return Some(start + at + 1),
+                b'\n' => line = 0,
+                b'\r' => {}
+                _ => line += 1,
+            }
         }
+        start += slice.len();
     }
     None
 }
--- a/daemon/src/terminal.rs
+++ b/daemon/src/terminal.rs
@@ -4,26 +4,31 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gradepaddle::Micros;
 use gradepaddle::settings::Deployment;
+use gradepaddle::{Effect, Micros};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 use tracing::warn;
 
 use crate::buffers::{Chain, Pool};
 use crate::clock::Clock;
 use crate::decision;
 use crate::http::{self, Connection, Fault, Framing};
-use crate::sockets::{Budget, Permit, Side};
+use crate::sockets::{Budget, Permit, Side, Wait};
 use crate::transaction::{FinalAnswer, Message, Reply, Transaction};
 
-/// A request must have come whole this long after its first byte.
+/// The first request must have come whole this long after its client connected: until then nothing tells a
+/// client from a connection that only holds a descriptor.
+const FIRST_WITHIN: Duration = Duration::from_millis(2500);
+/// A later request must have come whole this long after its first byte.
 const READ_WITHIN: Duration = Duration::from_secs(10);
 /// An answer must have been taken after this.
 const WRITE_WITHIN: Duration = Duration::from_secs(10);
-/// A client that sends nothing for this long is closed.
-const IDLE: Duration = Duration::from_secs(120);
+/// A client that has asked, and sends nothing for this long, is closed.
+const IDLE: Duration = Duration::from_secs(10);
+/// How soon one that waits may be old enough to make room for another.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// A client may send this much of its next request while it waits.
 const AHEAD: usize = 8 * 1024;
 /// What clients beyond the descriptor budget are told.
@@ -72,10 +77,7 @@
     // What the kernel has accepted counts as ours, so it is served before the listener goes.
     let Ok(listener) = listener.into_std() else { return };
     while let Ok((stream, _)) = listener.accept() {
-        let Some(permit) = context.budget.take(Side::Terminal).or_else(|| context.budget.take(Side::Door))
-        else {
-            return;
-        };
+        let Some(permit) = context.budget.take(Side::Terminal) else { return };
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         if let Ok(stream) = stream {
             start((stream, permit), &context, &alive);
@@ -85,14 +87,12 @@
 
 async fn accept_one(listener: &TcpListener, context: &Context) -> (TcpStream, Permit) {
     loop {
-        let Some(permit) = context.budget.take(Side::Terminal).or_else(|| context.budget.take(Side::Door))
-        else {
-            context.budget.freed().await;
-            continue;
-        };
+        let permit = room(&context.budget).await;
         match listener.accept().await {
             Ok((stream, _)) => {
-                context.budget.relieve();
+                // Two for one, so that those that wait become fewer.
+                let now = Instant::now();
+                let _ = context.budget.relieve(now) && context.budget.relieve(now);
                 return (stream, permit);
             }
             Err(e) => {
@@ -104,63 +104,96 @@
     }
 }
 
+/// A descriptor for one more client, if need be that of one that waits for too long.
+async fn room(budget: &Budget) -> Permit {
+    loop {
+        if let Some(permit) = budget.take(Side::Terminal) {
+            return permit;
+        }
+        budget.relieve(Instant::now());
+        // Nothing may be freed at all: those that wait only grow old enough to be closed.
+        let _ = timeout(LOOK_AGAIN, budget.freed()).await;
+    }
+}
+
 fn start((stream, permit): (TcpStream, Permit), context: &Rc<Context>, alive: &mpsc::Sender<()>) {
     let (context, alive) = (context.clone(), alive.clone());
-    let served = permit.side() == Side::Terminal;
     let connection = Connection::new(stream, &context.pool, permit);
     tokio::task::spawn_local(async move {
-        serve(connection, &context, served).await;
+        if let Some(connection) = serve(connection, &context).await {
+            let waiting = context.budget.wait(Wait::Silent);
+            tokio::select! {
+                () = connection.linger() => {}
+                () = waiting.unwanted() => {}
+            }
+        }
         drop(alive);
     });
 }
 
-async fn serve(mut connection: Connection, context: &Context, served: bool) {
+/// Serves one client until its connection is to be closed; given back after a last answer, which the
+/// client must have time to read.
+async fn serve(mut connection: Connection, context: &Context) -> Option<Connection> {
+    // Set until the first request has come.
+    let mut first = Some(Instant::now() + FIRST_WITHIN);
     loop {
-        if !connection.has_input() && !awaited(&mut connection, context).await {
-            return;
-        }
-        let request = match timeout(READ_WITHIN, read(&mut connection, context)).await {
-            Ok(Ok(request)) => request,
-            Ok(Err(Fault::Ended)) => return,
-            Ok(Err(fault)) => {
-                let status = match fault {
-                    Fault::LongHead => 431,
-                    Fault::LongBody => 413,
-                    _ => 400,
-                };
-                return refuse_to_read(connection, context, status, &fault.to_string()).await;
+        if !connection.has_input() {
+            let (kind, until) = match first {
+                Some(until) => (Wait::Silent, until),
+                None => (Wait::Next, Instant::now() + IDLE),
+            };
+            if !awaited(&mut connection, context, kind, until).await {
+                return None;
             }
-            Err(_) => {
-                return refuse_to_read(connection, context, 400, "the request did not come whole in time")
-                    .await;
+        }
+        let until = first.take().unwrap_or_else(|| Instant::now() + READ_WITHIN);
+        let rest = context.budget.wait(Wait::Rest);
+        let request = tokio::select! {
+            biased;
+            request = timeout_at(until, read(&mut connection, context)) => request,
+            () = rest.unwanted() => return None,
+        };
+        drop(rest);
+        let (status, why) = match request {
+            Ok(Ok(request)) => {
+                let open = context.budget.take(Side::Open);
+                let keep = request.head.keeps_alive() && open.is_some();
+                let (mut head, body) = answer(&mut connection, context, request, open.is_some()).await?;
+                drop(open);
+                // Read after the answer is there: the daemon may be on its way out since. While it only
+                // leaves, the connection stays: its client has a balancer here, and the front may have no
+                // other to give it.
+                let keep = keep && *context.phase.borrow() < Phase::Closing;
+                head.push(if keep { b"\r\n" as &[u8] } else { b"Connection: close\r\n\r\n" });
+                match timeout(WRITE_WITHIN, connection.write(&[&head, &body])).await {
+                    Ok(Ok(())) if keep => continue,
+                    Ok(Ok(())) => return Some(connection),
+                    _ => return None,
+                }
             }
+            Ok(Err(Fault::Ended)) => return None,
+            Ok(Err(fault @ Fault::LongHead)) => (431, fault.to_string()),
+            Ok(Err(fault @ Fault::LongBody)) => (413, fault.to_string()),
+            Ok(Err(fault)) => (400, fault.to_string()),
+            Err(_) => (408, "the request did not come whole in time".to_owned()),
         };
-        let keep = request.head.keeps_alive() && served;
-        let Some((mut head, body)) = answer(&mut connection, context, request, served).await else { return };
-        // Read after the answer is there: the daemon may be on its way out since. While it only leaves, the
-        // connection stays: its client has a balancer here, and the front may have no other to give it.
-        let keep = keep && *context.phase.borrow() < Phase::Closing;
-        head.push(if keep { b"\r\n" as &[u8] } else { b"Connection: close\r\n\r\n" });
-        let chains = [&head, &body];
-        if !matches!(timeout(WRITE_WITHIN, connection.write(&chains)).await, Ok(Ok(()))) {
-            return;
-        }
-        if !keep {
-            return connection.linger().await;
-        }
+        let (mut head, body) = plain(&context.pool, status, None, &why);
+        head.push(b"Connection: close\r\n\r\n");
+        let written = timeout(WRITE_WITHIN, connection.write(&[&head, &body])).await;
+        return matches!(written, Ok(Ok(()))).then_some(connection);
     }
 }
 
 /// Waits for the first byte of a request; false if the connection is to be closed.
-async fn awaited(connection: &mut Connection, context: &Context) -> bool {
+async fn awaited(connection: &mut Connection, context: &Context, kind: Wait, until: Instant) -> bool {
     let mut phase = context.phase.clone();
-    let idle = context.budget.idle();
+    let waiting = context.budget.wait(kind);
     tokio::select! {
         biased;
         read = connection.fill() => matches!(read, Ok(1..)),
         _ = phase.wait_for(|phase| *phase == Phase::Closing) => false,
-        () = idle.unwanted() => false,
-        () = tokio::time::sleep(IDLE) => false,
+        () = waiting.unwanted() => false,
+        () = tokio::time::sleep_until(until) => false,
     }
 }
 
@@ -180,16 +213,6 @@
     Ok(http::Message { head, body })
 }
 
-/// Answers what could not be read, and closes.
-async fn refuse_to_read(mut connection: Connection, context: &Context, status: u16, why: &str) {
-    let (mut head, body) = plain(&context.pool, status, None, why);
-    head.push(b"Connection: close\r\n\r\n");
-    let chains = [&head, &body];
-    if matches!(timeout(WRITE_WITHIN, connection.write(&chains)).await, Ok(Ok(()))) {
-        connection.linger().await;
-    }
-}
-
 /// The answer to a request, its head still open; none if the client has left.
 async fn answer(
     connection: &mut Connection,
@@ -209,7 +232,7 @@
     }
     let transaction = match transaction(request, context) {
         Ok(transaction) => transaction,
-        Err(why) => return Some(plain(pool, 400, None, why)),
+        Err((status, why)) => return Some(plain(pool, status, None, why)),
     };
     if !served {
         return Some(plain(pool, 503, Some(DOOR_PAUSE), "no connection to spare"));
@@ -236,37 +259,49 @@
             passed_on(pool, request, reply)
         }
         FinalAnswer::Refused { pause } => plain(pool, 503, Some(pause), "short on capacity"),
+        FinalAnswer::Known => plain(pool, 409, None, "a request with this X-Correlation-Id is open"),
         FinalAnswer::Failed { late: true, .. } => plain(pool, 504, None, "no answer in time"),
         FinalAnswer::Failed { .. } => plain(pool, 500, None, "failed"),
     })
 }
 
-/// What a request says, in terms that no longer depend on HTTP.
-fn transaction(request: http::Message, context: &Context) -> Result<Transaction, &'static str> {
+/// What a request says, in terms that no longer depend on HTTP. What contradicts itself is turned down
+/// here: an app server would turn it down too, and seem to fail.
+fn transaction(request: http::Message, context: &Context) -> Result<Transaction, (u16, &'static str)> {
     let arrived = context.clock.now();
     let (head, deployment) = (&request.head, &context.deployment);
-    if head.all("x-correlation-id").count() != 1 {
-        return Err("X-Correlation-Id must be given once");
-    }
+    let ids: Vec<_> = head.all("x-correlation-id").collect();
+    let own = match ids[..] {
+        [id] if !id.is_empty() => Rc::from(id),
+        _ => return Err((400, "X-Correlation-Id must be given once")),
+    };
     let first = head.target()[1..].split(['/', '?']).next().unwrap_or_default();
-    let name = head.get("x-service-class").unwrap_or(first);
-    let class = deployment.classes.iter().position(|class| class == name).ok_or("unknown service class")?;
+    if head.all("x-service-class").any(|name| name != first.as_bytes()) {
+        return Err((400, "X-Service-Class is not the first part of the path"));
+    }
+    let class = deployment.classes.iter().position(|class| class == first);
+    let class = class.ok_or((400, "unknown service class"))?;
+    let safe = deployment.settings.classes[class].effect == Effect::Safe;
+    match head.method() {
+        "GET" if safe && request.body.is_empty() => {}
+        "GET" if safe => return Err((400, "a GET with a body")),
+        "POST" if !safe => {}
+        _ => return Err((405, "not this class's method")),
+    }
     let named = head.get("x-account");
     let tenant = named.and_then(|name| deployment.tenants.iter().position(|tenant| tenant == name));
     let deadline = deployment.settings.classes[class].deadline;
     let time_left = match head.get("x-time-left") {
         None => deadline,
         Some(text) => {
-            let seconds: f64 = text.parse().map_err(|_| "X-Time-Left is no number")?;
-            if !seconds.is_finite() {
-                return Err("X-Time-Left is no number");
-            }
+            let seconds: Option<f64> = text.parse().ok().filter(|seconds: &f64| seconds.is_finite());
+            let seconds = seconds.ok_or((400, "X-Time-Left is no number"))?;
             // The cast saturates: a negative time left is none.
             deadline.min((seconds * 1e6) as Micros)
         }
     };
     let key = head.all("cookie").find_map(cookie);
-    Ok(Transaction { class, tenant, key, arrived, time_left, message: Rc::new(Message::Http(request)) })
+    Ok(Transaction { own, class, tenant, key, arrived, time_left, message: Rc::new(Message::Http(request)) })
 }
 
 /// The cookie `user` of a cookie header.
@@ -280,6 +315,9 @@
     match status {
         200 => "OK",
         400 => "Bad Request",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         503 => "Service Unavailable",
--- a/daemon/src/transaction.rs
+++ b/daemon/src/transaction.rs
@@ -10,6 +10,8 @@
 
 /// A client's request, as far as decisions need it, and the message to hand on.
 pub struct Transaction {
+    /// The client's own id for it.
+    pub own: Rc<[u8]>,
     /// Position of its class in the settings.
     pub class: usize,
     /// Position of its tenant in the settings.
@@ -45,6 +47,8 @@
         /// How long the client should stay away.
         pause: Micros,
     },
+    /// Turned down: a request with the same id of its client's is open.
+    Known,
     /// Failed, and nothing is said about what has happened.
     Failed {
         /// No app server answered in time.
