Try a request that an app server turns down as at fault nowhere else

Cause: routed_task.rs took every 4xx as Outcome::Error, which choice.rs may repeat up to the limit and blames on the server; a safe one then ended as a refusal, 503 with Retry-After, which asks the client to send it again. Changed: a 4xx but 408, 421, 425 and 429 is Outcome::Denied: final, passed on, no blame, no retry spent. In decision.rs a reply that is there goes before 'late' where a copy is still out. Also: 1xx answers before an answer had no bound (each starts a head anew); 32 now.

--- a/daemon/src/decision.rs
+++ b/daemon/src/decision.rs
@@ -128,7 +128,7 @@
 impl Open {
     /// True if it is for want of an answer that it fails, not for an answer that was bad.
     fn is_late(&self) -> bool {
-        self.late || self.attempts.iter().any(|attempt| attempt.out)
+        self.late || self.reply.is_none() && self.attempts.iter().any(|attempt| attempt.out)
     }
 }
 
--- a/daemon/src/routed_task.rs
+++ b/daemon/src/routed_task.rs
@@ -144,8 +144,12 @@
     head
 }
 
+/// An answer is good behind at most this many 1xx answers.
+const MAX_INTERIM: usize = 32;
+
 /// Reads an answer whole. It was asked for, so whatever breaks here may have run.
 async fn read_reply(request: &http::Message, mut connection: Connection) -> End {
+    let mut interim = 0;
     let (head, status) = loop {
         let head = match connection.read_head().await {
             Ok(head) => head,
@@ -153,7 +157,8 @@
             Err(_) => return End::of(Outcome::Error),
         };
         match head.status() {
-            Ok(100..=199) => {}
+            Ok(100..=199) if interim < MAX_INTERIM => interim += 1,
+            Ok(100..=199) => return End::of(Outcome::Error),
             Ok(status) => break (head, status),
             Err(_) => return End::of(Outcome::Error),
         }
@@ -169,12 +174,16 @@
     let outcome = match status {
         200 => Outcome::Ok,
         503 | 504 if head.get("x-unprocessed") == Some("1") => Outcome::Full,
+        // These speak of the moment or the connection, other 4xx of the request.
+        408 | 421 | 425 | 429 => Outcome::Error,
+        400..=499 => Outcome::Denied,
         _ => Outcome::Error,
     };
     let usable = framing != Framing::UntilClose && head.keeps_alive() && !connection.has_input();
     // A refusal says that trying again is harmless, whoever words it, so an app server's is never
     // passed on: here the request may have run.
-    let passes = matches!(outcome, Outcome::Ok | Outcome::Error) && !matches!(status, 429 | 503);
+    let passes =
+        matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Denied) && !matches!(status, 429 | 503);
     let reply = passes.then(|| Reply::Http(http::Message { head, body }));
     End { outcome, reply, connection: usable.then_some(connection) }
 }
--- a/daemon/tests/network/main.rs
+++ b/daemon/tests/network/main.rs
@@ -98,6 +98,38 @@
     ");
 }
 
+/// Guards against an app server that never comes to its answer: some 1xx answers may stand before it, but
+/// not without end.
+#[test]
+fn interim_answers_are_passed_over_up_to_a_bound() {
+    let rig = Rig::start(1);
+    let mut client = rig.client();
+    let early = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+    for (id, count, status) in [("c1", 5, "200 OK"), ("c2", 40, "500 Internal Server Error")] {
+        client.order(id);
+        let (_, mut server) = rig.accept(&[0]);
+        assert!(server.message().contains(id));
+        server.say(&early.repeat(count));
+        server.say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        assert_eq!(client.status(), status);
+    }
+}
+
+/// Guards against a client's own fault that is tried at every app server: one of them has said what it is.
+#[test]
+fn a_request_that_an_app_server_denies_is_tried_once() {
+    let rig = Rig::start(2);
+    let mut client = rig.client();
+    client.look("c1");
+    let (at, mut server) = rig.accept(&[0, 1]);
+    server.message();
+    server.say("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(client.status(), "404 Not Found");
+    assert!(rig.try_accept(1 - at).is_none());
+    client.look("c2");
+    assert!(server.message().contains("c2"), "the app server is in no trouble");
+}
+
 /// Guards the other side of that rule: what provably never ran is tried elsewhere, and so is what may
 /// be repeated.
 #[test]
--- a/src/api.rs
+++ b/src/api.rs
@@ -290,6 +290,8 @@
     Ok,
     /// The server answered with an error; it may have run.
     Error,
+    /// The server turned the request itself down: it found it at fault, as any other would.
+    Denied,
     /// Turned away unseen.
     Full,
     /// No answer in time; it may have run or may still.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -469,7 +469,14 @@
         let class = &self.settings.classes[r.class];
         let out = r.attempts.iter().any(|a| a.outcome.is_none());
         let spent = r.attempts.len() >= self.settings.max_attempts as usize;
-        if r.closed || r.streaming || spent || now >= r.ends || (out && !self.settings.second_copies) {
+        let denied = r.attempts.iter().any(|a| a.outcome == Some(Outcome::Denied));
+        if denied
+            || r.closed
+            || r.streaming
+            || spent
+            || now >= r.ends
+            || (out && !self.settings.second_copies)
+        {
             return Repeat::No;
         }
         let Some(first) = r.attempts.iter().find(|a| may_have_run(a)) else { return Repeat::Any };
@@ -484,6 +491,9 @@
     }
 
     fn may_refuse(&self, r: &Request) -> bool {
+        if r.attempts.iter().any(|a| a.outcome == Some(Outcome::Denied)) {
+            return false;
+        }
         match self.settings.classes[r.class].effect {
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             Effect::Keyed { .. } | Effect::Unsafe => !r.attempts.iter().any(may_have_run),
@@ -696,7 +706,7 @@
             self.withdraw(&id, &r, None, out);
         }
         let owed = !r.closed;
-        let waits = r.attempts.iter().any(|a| a.outcome.is_none());
+        let waits = outcome != Outcome::Denied && r.attempts.iter().any(|a| a.outcome.is_none());
         self.keep(id.clone(), r);
         if owed && !waits {
             self.again(now, &id, out);
@@ -780,14 +790,15 @@
         }
         let silent = peer.sign <= sent;
         match outcome {
-            Outcome::Ok | Outcome::Full => self.heed(now, server, true),
+            // A request at fault says nothing against the server that turns it down.
+            Outcome::Ok | Outcome::Full | Outcome::Denied => self.heed(now, server, true),
             Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => self.heed(now, server, false),
             Outcome::TimedOut if silent => self.heed(now, server, false),
             _ => {}
         }
         let peer = &mut self.servers[server];
         match outcome {
-            Outcome::Ok | Outcome::Error | Outcome::Full => peer.idle = Some(now),
+            Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Denied => peer.idle = Some(now),
             Outcome::Reset | Outcome::ConnectFailed => peer.idle = None,
             _ => {}
         }
@@ -825,10 +836,10 @@
             Outcome::Full | Outcome::Reset => charge(FAULT),
             Outcome::TimedOut => charge(if silent { FAULT } else { FAULT / 2.0 }),
             Outcome::Ok => judge(0.0, FAULT),
-            Outcome::Cancelled => {}
+            Outcome::Cancelled | Outcome::Denied => {}
         }
         match outcome {
-            Outcome::Ok | Outcome::Error | Outcome::Full => peer.sign = now,
+            Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Denied => peer.sign = now,
             _ => {}
         }
         if outcome == Outcome::Ok {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -858,6 +858,24 @@
     assert_eq!(refused, 0, "errors at every server are no queue");
 }
 
+/// Guards servers' good names, and the retry budget, against clients whose requests are at fault: what one
+/// server turns down as that is tried nowhere else and fails, though it might be repeated.
+#[test]
+fn a_request_at_fault_ends_at_the_server_that_denies_it() {
+    let mut bench = Bench::with_servers(Settings::default(), 3);
+    let now = bench.settle(0, 200);
+    bench.arrive(now, "first", "k", 10_000.0);
+    let holder = bench.sent();
+    bench.end(now + 1_000, "first", 0, Outcome::Denied, 1_000);
+    for i in 1..50u64 {
+        let (t, id) = (now + i * 20_000, format!("r{i}"));
+        bench.arrive(t, &id, "k", 10_000.0);
+        assert_eq!(bench.sent(), holder, "it is in no trouble");
+        bench.end(t + 1_000, &id, 0, Outcome::Denied, 1_000);
+        assert!(bench.failed() && !bench.refused() && bench.sent().is_none());
+    }
+}
+
 #[test]
 fn a_class_that_waits_everywhere_keeps_neither_slots_nor_the_others_out() {
     let late = Class { aim: 1_000_000, ..class(Effect::Unsafe) };
