Take the close as an answer's end only where it was announced

Seen: an answer whose head had lost its length was read until the connection ended, and then passed as served whatever had come: not what was made for the request. It also held its attempt until the time was up, since spoilt connections stay open. Line at fault: routed_task.rs, framing(Framing::UntilClose) without a look at keeps_alive(). The new case of the test is served as 200 without the change.

--- a/daemon/src/routed_task.rs
+++ b/daemon/src/routed_task.rs
@@ -166,6 +166,11 @@
     let bare = request.head.method() == "HEAD" || head.is_bare();
     let framing = if bare { Ok(Framing::Length(0)) } else { head.framing(Framing::UntilClose) };
     let Ok(framing) = framing else { return End::of(Outcome::Error) };
+    // Without a length the close ends it, and then it must be announced: else what is missing is the length,
+    // lost from a head that was spoilt, and whatever came by the time of some close would pass as whole.
+    if framing == Framing::UntilClose && head.keeps_alive() {
+        return End::of(Outcome::Error);
+    }
     let body = match connection.read_body(framing).await {
         Ok(body) => body,
         Err(http::Fault::Ended) => return End::of(Outcome::Reset),
--- a/daemon/tests/network/main.rs
+++ b/daemon/tests/network/main.rs
@@ -67,6 +67,7 @@
         ("c4", "HTTP/1.1 429 No\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"),
         ("c5", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut"),
         ("c6", "nonsense\r\n\r\n"),
+        ("c7", "HTTP/1.1 200 OK\r\nContent-Lenght: 9\r\n\r\ncut"),
     ] {
         let rig = Rig::start(2);
         let mut client = rig.client();
@@ -98,6 +99,19 @@
     ");
 }
 
+/// Guards the answers that the close may end, since they say so.
+#[test]
+fn an_answer_without_length_is_whole_at_an_announced_close() {
+    let rig = Rig::start(1);
+    let mut client = rig.client();
+    client.order("c1");
+    let (_, mut server) = rig.accept(&[0]);
+    server.message();
+    server.say("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nto the end");
+    drop(server);
+    assert!(client.message().ends_with("\nto the end"));
+}
+
 /// Guards against an app server that never comes to its answer: some 1xx answers may stand before it, but
 /// not without end.
 #[test]
