End clients' connections with their answers in a crowd

Checked by a line every 0.2 s with the budget: clients' connections stand at 134, 128 of them idle, 0 to 9 requests open, the app servers' side at a quarter: clients may hold a third of the 384 descriptors, and idle ones fill it. Lines at fault: terminal.rs keeps every connection, sockets.rs makes room only from half of its own part on, which is past the third, and only after 2 s: 128 places for 2 s are 64 requests a second.

--- a/daemon/src/terminal.rs
+++ b/daemon/src/terminal.rs
@@ -164,6 +164,8 @@
                 // leaves, the connection stays: its client has a balancer here, and the front may have no
                 // other to give it.
                 let keep = keep && *context.phase.borrow() < Phase::Closing;
+                // In a crowd most clients ask once in a long while, and the next may find no place.
+                let keep = keep && !context.budget.is_crowded();
                 head.push(if keep { b"\r\n" as &[u8] } else { b"Connection: close\r\n\r\n" });
                 match timeout(WRITE_WITHIN, connection.write(&[&head, &body])).await {
                     Ok(Ok(())) if keep => continue,
