Remember errors in a row longer, so that a server that only errs is tried less

Cause: choice.rs faded() lets each class's failure share fall below what counts within 2 s, then sends until the next error, in each class and at the same pace after any number of them. Ruled out: a stale list (it is listed as up), bad connections (the errors are whole answers). Changed: with n errors in a row (4 at most) the share of that class fades n times as slowly; one success, or a new start, ends it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,6 +37,8 @@
 const EQUAL: f64 = 0.25;
 /// A failure moves a server's failure share this far towards 1, a success towards 0.
 const FAULT: f64 = 0.3;
+/// A row of errors makes them be remembered longer, up to this many times.
+const ERRORS: u32 = 4;
 /// How much an outcome of one class tells of another.
 const OTHERS: f64 = 0.25;
 /// The part of the cold budget that is spent, since hints and peers misjudge.
@@ -165,6 +167,7 @@
                 peer.life += 1;
                 (peer.met, peer.took, peer.ghost) = (0.0, 0.0, 0.0);
                 peer.faults.clear();
+                peer.errors.clear();
                 peer.carried = 0.0;
             }
             if e.state == State::Gone {
@@ -334,8 +337,11 @@
         peer.carried *= carried;
         peer.ghost *= ghost;
         peer.faults.resize(self.classes.len(), 0.0);
-        for (share, class) in peer.faults.iter_mut().zip(&self.classes) {
-            *share = class.failing + (*share - class.failing) * fault;
+        peer.errors.resize(self.classes.len(), 0);
+        for ((share, class), errors) in peer.faults.iter_mut().zip(&self.classes).zip(&peer.errors) {
+            // One that meets each trial with an error is tried at growing intervals.
+            let keep = if *errors > 1 { fault.powf(1.0 / f64::from(*errors)) } else { fault };
+            *share = class.failing + (*share - class.failing) * keep;
         }
         peer.met *= recent;
         peer.took *= recent;
@@ -816,6 +822,13 @@
         }
         let seen = &mut self.classes[r.class];
         peer.faults.resize(self.settings.classes.len(), 0.0);
+        peer.errors.resize(self.settings.classes.len(), 0);
+        let errors = &mut peer.errors[r.class];
+        match outcome {
+            Outcome::Ok => *errors = 0,
+            Outcome::Error => *errors = (*errors + 1).min(ERRORS),
+            _ => {}
+        }
         // What fails everywhere is the class's fault and costs no server its good name.
         let blame = 1.0 - seen.failing;
         let mut judge = |to: f64, share: f64| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -123,6 +123,8 @@
     pub ghost: f64,
     /// Share of failures lately, by class; fades to the class's share everywhere.
     pub faults: Vec<f64>,
+    /// Errors in a row lately, by class.
+    pub errors: Vec<u32>,
     pub faded: Micros,
     /// Sums behind the drain rate: work met and the time it took.
     pub met: f64,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -858,6 +858,25 @@
     assert_eq!(refused, 0, "errors at every server are no queue");
 }
 
+/// Guards against a steady loss at a server that answers everything with an error at once: the more of them
+/// in a row, the later it is tried again.
+#[test]
+fn a_server_that_only_errs_is_tried_less_and_less() {
+    let mut bench =
+        Bench::with_servers(Settings { classes: vec![class(Effect::Unsafe)], ..Settings::default() }, 3);
+    let now = bench.settle(0, 200);
+    let mut sent = 0;
+    for i in 0..3_000u64 {
+        let (t, id) = (now + i * 10_000, format!("r{i}"));
+        bench.arrive(t, &id, &format!("k{}", i % 50), 10_000.0);
+        let fails = bench.sent().as_deref() == Some("a");
+        sent += u32::from(fails);
+        let outcome = if fails { Outcome::Error } else { Outcome::Ok };
+        bench.end(t + 1_000, &id, 0, outcome, 1_000);
+    }
+    assert!((2..=30).contains(&sent), "{sent} requests lost in 30 s");
+}
+
 /// Guards servers' good names, and the retry budget, against clients whose requests are at fault: what one
 /// server turns down as that is tried nowhere else and fails, though it might be repeated.
 #[test]
