--- /dev/null
+++ b/check/src/broken.rs
@@ -0,0 +1,113 @@
+//! Versions that are broken on purpose, chosen at run time: each takes one guard away, in place of
+//! [`gradepaddle_dispatch::Rules`] or between the world and dispatch. The daemon holds none of this.
+
+use clap::ValueEnum;
+use gradepaddle::Outcome;
+use gradepaddle_dispatch::{Cause, Defect, Extent, Guard, outcome};
+
+use crate::property::Property;
+use crate::sizes::Sizes;
+
+/// What is broken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, ValueEnum)]
+pub enum Broken {
+    /// Nothing: the rules in service.
+    #[default]
+    Nothing,
+    /// A connection that broke behind the last byte is taken to prove that the attempt never ran.
+    ResendAfterReset,
+    /// A time-out behind the last byte is taken to prove that the attempt never ran.
+    ResendAfterTimeOut,
+    /// A transaction of an unsafe class may get another attempt while one is out.
+    SecondCopyOfUnsafe,
+    /// A second copy is sent where the settings allow none.
+    SecondCopyUnset,
+    /// A transaction that may have run is refused.
+    RefusalAfterRun,
+    /// The limit of attempts is not heeded.
+    BeyondLimit,
+    /// A drain is heeded only when the next list comes.
+    DrainAtNextList,
+    /// Attempts are started at app servers that have drained for longer than the grace.
+    DrainForgotten,
+    /// An attempt writes its first byte without another look at the app server's standing.
+    FirstByteUnseen,
+    /// An answer and a time-out are both delivered.
+    AnswerAndTimeOut,
+    /// An ended transaction is kept.
+    EndedKept,
+    /// What the chooser forgets is never answered.
+    NoBackstop,
+}
+
+impl Broken {
+    /// All that are broken.
+    pub fn all() -> impl Iterator<Item = Broken> {
+        Broken::value_variants().iter().copied().filter(|broken| *broken != Broken::Nothing)
+    }
+
+    /// Its name on the command line.
+    pub fn name(self) -> String {
+        self.to_possible_value().map_or_else(String::new, |value| value.get_name().to_owned())
+    }
+
+    /// The promise that it must be seen to break.
+    pub fn breaks(self) -> Option<Property> {
+        Some(match self {
+            Broken::Nothing => return None,
+            Broken::ResendAfterReset | Broken::ResendAfterTimeOut => Property::NoRepeat,
+            Broken::SecondCopyOfUnsafe | Broken::SecondCopyUnset => Property::NoSecondCopy,
+            Broken::RefusalAfterRun => Property::HonestRefusal,
+            Broken::BeyondLimit => Property::AttemptLimit,
+            Broken::DrainAtNextList | Broken::DrainForgotten | Broken::FirstByteUnseen => {
+                Property::NothingNewToClosed
+            }
+            Broken::AnswerAndTimeOut => Property::OneAnswer,
+            Broken::EndedKept => Property::NothingKept,
+            Broken::NoBackstop => Property::AnsweredInTime,
+        })
+    }
+
+    /// A case small enough to show the shortest way, yet with all that the breach needs.
+    pub fn sizes(self) -> Sizes {
+        let one = Sizes { transactions: 1, leaves: 0, ..Sizes::default() };
+        match self {
+            Broken::SecondCopyUnset => {
+                Sizes { second_copies: false, classes: vec![crate::sizes::Kind::Safe], ..one }
+            }
+            Broken::BeyondLimit => Sizes { classes: vec![crate::sizes::Kind::Safe], ..one },
+            _ => Sizes { classes: vec![crate::sizes::Kind::Unsafe], ..one },
+        }
+    }
+}
+
+impl Guard for Broken {
+    fn forbids(&self, defect: Defect) -> bool {
+        let lifted = match self {
+            Broken::SecondCopyOfUnsafe => Defect::RepeatedUnsafe,
+            Broken::SecondCopyUnset => Defect::SecondCopy,
+            Broken::RefusalAfterRun => Defect::RefusedAfterRun,
+            Broken::BeyondLimit => Defect::TooManyAttempts,
+            Broken::DrainForgotten => Defect::SentToClosed,
+            Broken::AnswerAndTimeOut => Defect::SecondAnswer,
+            _ => return true,
+        };
+        defect != lifted
+    }
+
+    fn outcome(&self, extent: Extent, cause: Cause) -> Outcome {
+        match (self, cause) {
+            (Broken::ResendAfterReset, Cause::Broke) => Outcome::ConnectFailed,
+            (Broken::ResendAfterTimeOut, Cause::OutOfTime) => Outcome::ConnectFailed,
+            _ => outcome(extent, cause),
+        }
+    }
+
+    fn forgets(&self) -> bool {
+        *self != Broken::EndedKept
+    }
+
+    fn has_backstop(&self) -> bool {
+        *self != Broken::NoBackstop
+    }
+}
--- /dev/null
+++ b/check/src/report.rs
@@ -0,0 +1,105 @@
+//! Explorations that belong together, and what is printed of them.
+
+use std::fmt::Write as _;
+
+use crate::broken::Broken;
+use crate::explore::{Breach, Chooses, Exploration, Found};
+use crate::sizes::{Kind, Sizes};
+
+fn named(name: &str, chooses: Chooses, depth: Option<usize>, sizes: Sizes) -> Exploration {
+    Exploration { name: name.into(), sizes, chooses, depth, broken: Broken::Nothing }
+}
+
+/// The hard cases, each small enough to be explored to its end under an adversary, and a larger one to a
+/// stated depth; then the decisions, to a stated depth. The longest come first.
+pub fn all() -> Vec<Exploration> {
+    let base = Sizes { deadline: 2, attempts: 2, leaves: 0, drains: 0, ..Sizes::default() };
+    let one = Sizes { transactions: 1, ..base.clone() };
+    let (order, look) = (vec![Kind::Unsafe], vec![Kind::Safe]);
+    let anything = |name, sizes| named(name, Chooses::Anything, None, sizes);
+    let decided = |name, depth, sizes| named(name, Chooses::Decisions, Some(depth), sizes);
+    vec![
+        decided(
+            "decisions: orders, crash and replacement",
+            9,
+            Sizes { classes: order.clone(), crashes: 1, replacements: 1, drains: 1, ..Sizes::default() },
+        ),
+        decided("decisions: look and order, drain and leave", 10, Sizes::default()),
+        named("look and order, three attempts, drain", Chooses::Anything, Some(8), Sizes::default()),
+        anything(
+            "one order, drain, leave",
+            Sizes { classes: order.clone(), drains: 1, leaves: 1, ..one.clone() },
+        ),
+        anything("one look, second copies, drain", Sizes { classes: look.clone(), drains: 1, ..one.clone() }),
+        anything(
+            "one look, no second copies, drain",
+            Sizes { classes: look.clone(), drains: 1, second_copies: false, ..one.clone() },
+        ),
+        anything(
+            "one order, an app server replaced",
+            Sizes { classes: order.clone(), replacements: 1, ..one.clone() },
+        ),
+        anything(
+            "two orders, crash, then the first list",
+            Sizes { classes: order.clone(), crashes: 1, drains: 1, attempts: 1, servers: 1, ..base.clone() },
+        ),
+        anything(
+            "one order, list fails, then an old one",
+            Sizes { classes: order.clone(), old_lists: 1, drains: 1, attempts: 1, ..one.clone() },
+        ),
+        anything("one order, ends told twice", Sizes { classes: order.clone(), late_ends: 1, ..one.clone() }),
+        anything(
+            "two orders with one id, leave",
+            Sizes { classes: order, same_ids: true, leaves: 1, attempts: 1, servers: 1, deadline: 1, ..base },
+        ),
+    ]
+}
+
+/// The same directions, cut to fit a build.
+pub fn quick() -> Vec<Exploration> {
+    let shrink = |mut exploration: Exploration| {
+        exploration.depth = Some(match exploration.chooses {
+            Chooses::Anything => 9.min(exploration.depth.unwrap_or(9)),
+            Chooses::Decisions => 7,
+        });
+        exploration
+    };
+    all().into_iter().map(shrink).collect()
+}
+
+/// What shows that a broken version is caught: the smallest case that has what it needs.
+pub fn broken(broken: Broken) -> Exploration {
+    Exploration {
+        name: broken.name(),
+        sizes: broken.sizes(),
+        chooses: Chooses::Anything,
+        depth: None,
+        broken,
+    }
+}
+
+/// One line on an exploration.
+pub fn line(exploration: &Exploration, found: &Found) -> String {
+    let depth = if found.cut { format!("{} (cut)", found.depth) } else { format!("{} (all)", found.depth) };
+    let seconds = found.took.as_secs_f64();
+    let verdict = match found.breaches.first() {
+        None => "holds".to_owned(),
+        Some(breach) => format!("BROKEN: {}", breach.property),
+    };
+    format!("{:<52} {:>10} {:>10} {seconds:>8.1}  {verdict}", exploration.name, found.states, depth)
+}
+
+/// The head of those lines.
+pub fn head() -> String {
+    format!("{:<52} {:>10} {:>10} {:>8}  verdict", "exploration", "states", "depth", "seconds")
+}
+
+/// The way to a breach as numbered steps.
+pub fn trace(breach: &Breach) -> String {
+    let mut text = format!("{}: {}\n", breach.property, breach.property.words());
+    for (at, (time, step)) in breach.steps.iter().enumerate() {
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "{:>4}. at {time}: {step}", at + 1);
+    }
+    text
+}
--- a/daemon/src/app_server.rs
+++ b/daemon/src/app_server.rs
@@ -6,76 +6,46 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use gradepaddle::Micros;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
-use crate::buffers::Pool;
-use crate::clock::Clock;
 use crate::http::Connection;
-use crate::routed_task::{self, Assignment};
-use crate::sockets::{Budget, Side};
+use crate::routed_task::{self, Assignment, Context, Entry};
+use crate::sockets::Side;
 
 /// What an app server's actor is told.
 pub enum Command {
     /// Start an attempt.
     Start(Assignment),
-    /// A connection that can be used again.
-    Park(Connection),
     /// Close the idle connections.
     DropIdle,
-    /// What the service table now says.
-    Entry(Entry),
-}
-
-/// What the service table says of one app server.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub struct Entry {
-    /// Where it listens.
-    pub dial: SocketAddr,
-    /// May it be sent anything new?
-    pub open: bool,
+    /// Where it listens from now on.
+    Dial(SocketAddr),
+    /// May it be sent anything new from now on? Not before it is told so.
+    Standing(bool),
 }
 
 /// The mailbox of an app server's actor.
 pub type Mailbox = mpsc::UnboundedSender<Command>;
 
-/// What all app servers' actors share.
-pub struct Context {
-    /// Where buffers come from.
-    pub pool: Pool,
-    /// The daemon's clock.
-    pub clock: Clock,
-    /// The descriptor budget.
-    pub budget: Budget,
-    /// How long a connection may take to come up.
-    pub dial_timeout: Duration,
-    /// App servers close connections idle for this long.
-    pub conn_idle: Micros,
-}
-
 struct Idle {
     connection: Connection,
     since: Instant,
 }
 
 /// Starts the actor; it ends when its last mailbox is gone.
-pub fn start(entry: Entry, context: Rc<Context>) -> Mailbox {
+pub fn start(dial: SocketAddr, context: Rc<Context>) -> Mailbox {
     let (mailbox, inbox) = mpsc::unbounded_channel();
-    tokio::task::spawn_local(run(entry, inbox, mailbox.downgrade(), context));
+    tokio::task::spawn_local(run(Entry { dial, open: false }, inbox, context));
     mailbox
 }
 
-async fn run(
-    entry: Entry,
-    mut inbox: mpsc::UnboundedReceiver<Command>,
-    mailbox: mpsc::WeakUnboundedSender<Command>,
-    context: Rc<Context>,
-) {
+async fn run(entry: Entry, mut inbox: mpsc::UnboundedReceiver<Command>, context: Rc<Context>) {
     // A request written when the app server closes the connection is lost and may have run, so idle
     // connections go well before that.
     let keep = Duration::from_micros(context.conn_idle / 5 * 3);
     let (standing, view) = watch::channel(entry);
+    let (park, mut parked) = mpsc::unbounded_channel();
     // The oldest stands first; the one used last is used next.
     let mut idle: Vec<Idle> = Vec::new();
     loop {
@@ -90,6 +60,12 @@
                 idle.remove(at);
                 continue;
             }
+            Some(connection) = parked.recv() => {
+                if !keep.is_zero() && !context.budget.is_short(Side::Server) {
+                    idle.push(Idle { connection, since: Instant::now() });
+                }
+                continue;
+            }
             command = inbox.recv() => command,
         };
         match command {
@@ -103,20 +79,21 @@
                     }
                 }
                 let task =
-                    routed_task::run(assignment, reused, view.clone(), mailbox.clone(), context.clone());
+                    routed_task::run(assignment, reused, view.clone(), park.downgrade(), context.clone());
                 tokio::task::spawn_local(task);
             }
-            Some(Command::Park(connection)) => {
-                if !keep.is_zero() && !context.budget.is_short(Side::Server) {
-                    idle.push(Idle { connection, since: Instant::now() });
+            Some(Command::DropIdle) => idle.clear(),
+            Some(Command::Dial(dial)) => {
+                let changed = |entry: &mut Entry| std::mem::replace(&mut entry.dial, dial) != dial;
+                if standing.send_if_modified(changed) {
+                    idle.clear();
                 }
             }
-            Some(Command::DropIdle) => idle.clear(),
-            Some(Command::Entry(new)) => {
-                if standing.borrow().dial != new.dial || !new.open {
+            Some(Command::Standing(open)) => {
+                standing.send_modify(|entry| entry.open = open);
+                if !open {
                     idle.clear();
                 }
-                standing.send_replace(new);
             }
             None => return,
         }
--- a/daemon/src/decision.rs
+++ b/daemon/src/decision.rs
@@ -1,453 +1,191 @@
-//! The actor that owns the decisions: events go in, actions come out and are carried out. Which final
-//! answer is owed, and that there is exactly one, is judged here alone.
+//! The actor round [`Dispatch`]: mails go in with the time, and what comes out is carried out. Nothing is
+//! judged here.
 
-use std::cell::Cell;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 
-use gradepaddle::{Action, Arrival, Balancer, Ended, Event, Id, ListKind, Micros, Outcome, Server};
-use tokio::sync::{mpsc, oneshot, watch};
+use gradepaddle::{Balancer, Id};
+use gradepaddle_dispatch::{Dispatch, Input, Output, Ticket};
+use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 use tracing::{error, info, warn};
 
 use crate::app_server;
-use crate::clock::Clock;
-use crate::routed_task::{Assignment, Report};
+use crate::mail::{Change, Inbox, Mail, Mailbox};
+use crate::routed_task::{Assignment, Context, Report};
 use crate::service_table;
-use crate::transaction::{FinalAnswer, Message, Reply, Transaction};
+use crate::transaction::{FinalAnswer, Message, Reply};
 
-/// How long past its deadline a transaction may stay unanswered before the backstop ends it.
-const BACKSTOP: Micros = 10_000;
-
-/// Names a transaction in this process. Clients' own ids may repeat, these never do.
-pub type Ticket = u64;
-
-/// What the decisions are told.
-enum Input {
-    Asked { ticket: Ticket, transaction: Transaction, answer: oneshot::Sender<FinalAnswer> },
-    Left(Ticket),
-    Ended { ticket: Ticket, attempt: u32, outcome: Outcome, reply: Option<Reply> },
-    Table(Change),
-}
-
-/// A change of the service table.
-pub struct Change {
-    /// What the entries stand for.
-    pub kind: ListKind,
-    /// The entries.
-    pub servers: Vec<Server>,
-    /// The mailboxes of app servers that are new.
-    pub added: Vec<(Id, app_server::Mailbox)>,
-    /// App servers that nothing can be sent to any more.
-    pub forgotten: Vec<Id>,
-}
-
-/// The mailbox of the decisions.
-#[derive(Clone)]
-pub struct Mailbox {
-    inputs: mpsc::UnboundedSender<Input>,
-    tickets: Rc<Cell<Ticket>>,
-}
-
-impl Mailbox {
-    /// A mailbox and what comes out of it.
-    pub fn new() -> (Self, Inbox) {
-        let (inputs, inbox) = mpsc::unbounded_channel();
-        (Mailbox { inputs, tickets: Rc::default() }, Inbox(inbox))
-    }
-
-    // The decisions end only with the process, so a mail that nobody takes is owed to nobody.
-    fn send(&self, input: Input) {
-        let _ = self.inputs.send(input);
-    }
-
-    /// Hands a transaction over and waits for its final answer. Dropped before that, it tells that the
-    /// client has left.
-    pub fn ask(&self, transaction: Transaction) -> Pending {
-        let ticket = self.tickets.get();
-        self.tickets.set(ticket + 1);
-        let (answer, answered) = oneshot::channel();
-        self.send(Input::Asked { ticket, transaction, answer });
-        Pending { ticket, answered, decision: self.clone(), done: false }
-    }
-
-    /// Tells how an attempt ended.
-    pub fn ended(&self, ticket: Ticket, attempt: u32, outcome: Outcome, reply: Option<Reply>) {
-        self.send(Input::Ended { ticket, attempt, outcome, reply });
-    }
-
-    /// Tells what the service table says.
-    pub fn table(&self, change: Change) {
-        self.send(Input::Table(change));
-    }
-}
-
-/// What comes out of a [`Mailbox`].
-pub struct Inbox(mpsc::UnboundedReceiver<Input>);
-
-/// A transaction whose final answer is awaited.
-pub struct Pending {
-    ticket: Ticket,
-    answered: oneshot::Receiver<FinalAnswer>,
-    decision: Mailbox,
-    done: bool,
-}
-
-impl Pending {
-    /// The final answer. Safe to drop midway and call again.
-    pub async fn answer(&mut self) -> FinalAnswer {
-        let answer = (&mut self.answered).await;
-        self.done = true;
-        answer.unwrap_or(FinalAnswer::Failed { late: false, reply: None })
-    }
-}
-
-impl Drop for Pending {
-    fn drop(&mut self) {
-        if !self.done {
-            self.decision.send(Input::Left(self.ticket));
-        }
-    }
-}
-
-/// A transaction until it is answered and its last attempt has ended.
-struct Open {
-    id: Id,
-    /// Its client's id, which no other may use meanwhile.
-    own: Rc<[u8]>,
-    message: Rc<Message>,
+/// The channels of one transaction, kept until it is answered and its attempts have ended.
+#[derive(Default)]
+struct Channels {
     answer: Option<oneshot::Sender<FinalAnswer>>,
-    attempts: Vec<Attempt>,
-    /// The last outcome was a time-out.
-    late: bool,
-    /// What came with the last outcome, if that is no success.
-    reply: Option<Reply>,
+    /// By attempt. Sent to, or dropped, each withdraws its attempt.
+    withdraws: Vec<Option<oneshot::Sender<()>>>,
 }
 
-impl Open {
-    /// True if it is for want of an answer that it fails, not for an answer that was bad.
-    fn is_late(&self) -> bool {
-        self.late || self.reply.is_none() && self.attempts.iter().any(|attempt| attempt.out)
+impl Channels {
+    fn is_done(&self) -> bool {
+        self.answer.is_none() && self.withdraws.iter().all(Option::is_none)
     }
 }
 
-struct Attempt {
-    sent: Micros,
-    /// Its outcome is still to come.
-    out: bool,
-    /// Sent, or dropped, it withdraws the attempt.
-    withdraw: Option<oneshot::Sender<()>>,
-}
-
 /// The actor's state.
 pub struct Decision {
-    balancer: Balancer,
-    name: String,
-    clock: Clock,
+    dispatch: Dispatch<Balancer, Rc<Message>, Reply>,
     mailbox: Mailbox,
     table: service_table::Mailbox,
+    context: Rc<Context>,
     app_servers: HashMap<Id, app_server::Mailbox>,
-    open: HashMap<Ticket, Open>,
-    tickets: HashMap<Id, Ticket>,
-    /// The clients' ids of those that are open.
-    own: HashSet<Rc<[u8]>>,
-    wakes: BinaryHeap<Reverse<Micros>>,
-    deadlines: BinaryHeap<Reverse<(Micros, Ticket)>>,
-    actions: Vec<Action>,
+    channels: HashMap<Ticket, Channels>,
+    outputs: Vec<Output<Rc<Message>, Reply>>,
     ready: watch::Sender<bool>,
 }
 
 impl Decision {
     /// The decisions of this balancer. `ready` turns true once the table has named an app server.
     pub fn new(
-        balancer: Balancer,
-        name: String,
-        clock: Clock,
+        dispatch: Dispatch<Balancer, Rc<Message>, Reply>,
         mailbox: Mailbox,
         table: service_table::Mailbox,
+        context: Rc<Context>,
         ready: watch::Sender<bool>,
     ) -> Self {
         Decision {
-            balancer,
-            name,
-            clock,
+            dispatch,
             mailbox,
             table,
+            context,
             app_servers: HashMap::new(),
-            open: HashMap::new(),
-            tickets: HashMap::new(),
-            own: HashSet::new(),
-            wakes: BinaryHeap::new(),
-            deadlines: BinaryHeap::new(),
-            actions: Vec::new(),
+            channels: HashMap::new(),
+            outputs: Vec::new(),
             ready,
         }
     }
 
-    /// Takes events until the process ends.
+    /// Takes mails until the process ends.
     pub async fn run(mut self, mut inbox: Inbox) {
         loop {
-            let due = self.due();
-            let at = due.map_or_else(Instant::now, |at| self.clock.instant(at));
+            let due = self.dispatch.due();
+            let at = due.map_or_else(Instant::now, |at| self.context.clock.instant(at));
             tokio::select! {
                 biased;
-                () = sleep_until(at), if due.is_some() => self.wake(),
-                input = inbox.0.recv() => match input {
-                    Some(input) => self.take(input),
+                () = sleep_until(at), if due.is_some() => self.hand_over(Input::Tick),
+                mail = inbox.recv() => match mail {
+                    Some(mail) => self.take(mail),
                     None => return,
                 },
             }
         }
     }
 
-    fn due(&self) -> Option<Micros> {
-        let wake = self.wakes.peek().map(|Reverse(at)| *at);
-        let deadline = self.deadlines.peek().map(|Reverse((at, _))| *at);
-        wake.into_iter().chain(deadline).min()
-    }
-
-    fn wake(&mut self) {
-        let now = self.clock.now();
-        let mut woken = false;
-        while self.wakes.peek().is_some_and(|Reverse(at)| *at <= now) {
-            self.wakes.pop();
-            woken = true;
-        }
-        if woken {
-            self.decide(now, Event::Wake);
-        }
-        while let Some(Reverse((at, ticket))) = self.deadlines.peek().copied() {
-            if at > now {
-                break;
-            }
-            self.deadlines.pop();
-            self.backstop(now, ticket);
-        }
-    }
-
-    /// Guards against a transaction that the decisions forget: its deadline has passed without an answer.
-    fn backstop(&mut self, now: Micros, ticket: Ticket) {
-        let Some(open) = self.open.get_mut(&ticket) else { return };
-        let Some(answer) = open.answer.take() else { return };
-        error!(transaction = %open.id, "defect: no final answer by the deadline; it failed");
-        // The client may have left just now.
-        let _ = answer.send(FinalAnswer::Failed { late: true, reply: None });
-        self.left(now, ticket);
-    }
-
-    fn take(&mut self, input: Input) {
-        let now = self.clock.now();
-        match input {
-            Input::Asked { ticket, transaction, answer } => self.asked(now, ticket, transaction, answer),
-            Input::Left(ticket) => {
-                if self.open.get_mut(&ticket).and_then(|open| open.answer.take()).is_some() {
-                    self.left(now, ticket);
-                }
-            }
-            Input::Ended { ticket, attempt, outcome, reply } => {
-                self.ended(now, ticket, attempt, outcome, reply);
+    fn take(&mut self, mail: Mail) {
+        match mail {
+            Mail::Asked { ticket, transaction, answer } => {
+                let channels = Channels { answer: Some(answer), withdraws: Vec::new() };
+                self.channels.insert(ticket, channels);
+                self.hand_over(Input::Taken { ticket, transaction });
             }
-            Input::Table(change) => {
-                for (id, mailbox) in change.added {
-                    self.app_servers.insert(id, mailbox);
-                }
-                self.decide(now, Event::List { kind: change.kind, servers: change.servers });
-                for id in &change.forgotten {
-                    self.app_servers.remove(id);
-                }
-                if !self.app_servers.is_empty() && !*self.ready.borrow() {
-                    info!(app_servers = self.app_servers.len(), "ready");
-                    self.ready.send_replace(true);
+            Mail::Input(input) => {
+                match &input {
+                    Input::Left { ticket } => self.over(*ticket, |channels| drop(channels.answer.take())),
+                    Input::Ended { ticket, attempt, .. } => {
+                        let attempt = *attempt as usize;
+                        self.over(*ticket, |channels| {
+                            channels.withdraws.get_mut(attempt).map(Option::take);
+                        });
+                    }
+                    _ => {}
                 }
+                self.hand_over(input);
             }
+            Mail::Table(change) => self.table(change),
         }
     }
 
-    fn asked(
-        &mut self,
-        now: Micros,
-        ticket: Ticket,
-        transaction: Transaction,
-        answer: oneshot::Sender<FinalAnswer>,
-    ) {
-        let Transaction { own, class, tenant, key, arrived, time_left, message } = transaction;
-        if !self.own.insert(own.clone()) {
-            // App servers know requests by their clients' ids: two at once could get each other's answers,
-            // and the second would look like a copy of the first. Its client may have left just now.
-            let _ = answer.send(FinalAnswer::Known);
-            return;
+    /// Changes the channels of a transaction; the last one gone, it is forgotten.
+    fn over(&mut self, ticket: Ticket, change: impl FnOnce(&mut Channels)) {
+        let Some(channels) = self.channels.get_mut(&ticket) else { return };
+        change(channels);
+        if channels.is_done() {
+            self.channels.remove(&ticket);
         }
-        let id: Id = format!("{}-{ticket}", self.name).into();
-        let ends = arrived.saturating_add(time_left);
-        let open = Open {
-            id: id.clone(),
-            own,
-            message,
-            answer: Some(answer),
-            attempts: Vec::new(),
-            late: false,
-            reply: None,
-        };
-        self.open.insert(ticket, open);
-        self.tickets.insert(id.clone(), ticket);
-        self.deadlines.push(Reverse((ends.saturating_add(BACKSTOP), ticket)));
-        let ttl = ends.saturating_sub(now);
-        let arrival = Arrival { id, class, tenant, ttl, hint: None, key: key.as_deref() };
-        self.decide(now, Event::Request(arrival));
-    }
-
-    fn left(&mut self, now: Micros, ticket: Ticket) {
-        let Some(open) = self.open.get(&ticket) else { return };
-        let id = open.id.clone();
-        self.decide(now, Event::Left { request: &id });
-        self.settle(ticket);
     }
 
-    fn ended(&mut self, now: Micros, ticket: Ticket, attempt: u32, outcome: Outcome, reply: Option<Reply>) {
-        let Some(open) = self.open.get_mut(&ticket) else { return };
-        let Some(of) = open.attempts.get_mut(attempt as usize) else { return };
-        of.out = false;
-        let took = now.saturating_sub(of.sent);
-        open.late = outcome == Outcome::TimedOut;
-        match (outcome, reply) {
-            (Outcome::Ok, Some(reply)) => {
-                if let Some(answer) = open.answer.take() {
-                    // A client that has left just now has no use for it.
-                    let _ = answer.send(FinalAnswer::Served(reply));
-                }
+    fn table(&mut self, change: Change) {
+        let Change { seq, kind, entries } = change;
+        let count = entries.len();
+        let mut servers = Vec::with_capacity(count);
+        for (server, dial) in entries {
+            if let Some(dial) = dial {
+                let new = || app_server::start(dial, self.context.clone());
+                let mailbox = self.app_servers.entry(server.id.clone()).or_insert_with(new);
+                // The actor lives as long as this mailbox.
+                let _ = mailbox.send(app_server::Command::Dial(dial));
             }
-            (_, reply) => open.reply = reply,
+            servers.push(server);
         }
-        let (id, closed) = (open.id.clone(), open.answer.is_none());
-        let ended = Ended { request: &id, attempt, outcome, took, closed, report: None };
-        self.decide(now, Event::Ended(ended));
-        self.settle(ticket);
-    }
-
-    /// Forgets a transaction that is answered and has no attempt out.
-    fn settle(&mut self, ticket: Ticket) {
-        let done = |open: &Open| open.answer.is_none() && open.attempts.iter().all(|attempt| !attempt.out);
-        if self.open.get(&ticket).is_some_and(done)
-            && let Some(open) = self.open.remove(&ticket)
-        {
-            self.tickets.remove(&open.id);
-            self.own.remove(&open.own);
+        self.hand_over(Input::List { kind, servers });
+        let up = self.dispatch.fleet().open();
+        info!(seq, ?kind, entries = count, up, "service table");
+        if !self.app_servers.is_empty() && !*self.ready.borrow() {
+            info!(app_servers = self.app_servers.len(), "ready");
+            self.ready.send_replace(true);
         }
     }
 
-    fn decide(&mut self, now: Micros, event: Event<'_>) {
-        let mut actions = std::mem::take(&mut self.actions);
-        self.balancer.handle(now, event, &mut actions);
-        for action in actions.drain(..) {
-            self.act(now, action);
+    fn hand_over(&mut self, input: Input<Rc<Message>, Reply>) {
+        let mut outputs = std::mem::take(&mut self.outputs);
+        self.dispatch.handle(self.context.clock.now(), input, &mut outputs);
+        for output in outputs.drain(..) {
+            self.carry_out(output);
         }
-        self.actions = actions;
+        self.outputs = outputs;
     }
 
-    fn act(&mut self, now: Micros, action: Action) {
-        match action {
-            Action::Send { request, server, until } => self.send(now, &request, &server, until),
-            Action::Refuse { request, pause } => self.finish(&request, |_| FinalAnswer::Refused { pause }),
-            Action::Fail { request } => {
-                self.finish(&request, |open| {
-                    let late = open.is_late();
-                    FinalAnswer::Failed { late, reply: open.reply.take().filter(|_| !late) }
-                });
+    fn carry_out(&mut self, output: Output<Rc<Message>, Reply>) {
+        let command = |server: &Id, command| {
+            if let Some(app_server) = self.app_servers.get(server) {
+                let _ = app_server.send(command);
             }
-            Action::Cancel { request, attempt } => {
-                let open = self.tickets.get(&request).and_then(|ticket| self.open.get_mut(ticket));
-                if let Some(of) = open.and_then(|open| open.attempts.get_mut(attempt as usize))
-                    && let Some(withdraw) = of.withdraw.take()
-                {
-                    // It may have ended at this moment.
-                    let _ = withdraw.send(());
-                }
+        };
+        match output {
+            Output::Start { ticket, attempt, server, message, until } => {
+                let (withdraw, withdrawn) = oneshot::channel();
+                let channels = self.channels.entry(ticket).or_default();
+                channels.withdraws.resize_with(attempt as usize, || None);
+                channels.withdraws.push(Some(withdraw));
+                let report = Report::new(self.mailbox.clone(), ticket, attempt);
+                // An assignment that nobody takes tells its end by itself.
+                command(
+                    &server,
+                    app_server::Command::Start(Assignment { message, until, withdrawn, report }),
+                );
             }
-            Action::Wake { at } => self.wakes.push(Reverse(at)),
-            Action::DropIdle { server } => {
-                if let Some(app_server) = self.app_servers.get(&server) {
-                    let _ = app_server.send(app_server::Command::DropIdle);
+            Output::Withdraw { ticket, attempt } => self.over(ticket, |channels| {
+                let withdraw = channels.withdraws.get_mut(attempt as usize).and_then(Option::take);
+                // It may have ended at this moment.
+                let _ = withdraw.map(|withdraw| withdraw.send(()));
+            }),
+            Output::Answer { ticket, answer } => self.over(ticket, |channels| {
+                if let Some(sender) = channels.answer.take() {
+                    // The client may have left just now.
+                    let _ = sender.send(answer);
                 }
-            }
-            Action::Subscribe => {
+            }),
+            Output::Standing { server, open } => command(&server, app_server::Command::Standing(open)),
+            Output::DropIdle { server } => command(&server, app_server::Command::DropIdle),
+            Output::Forgotten { server } => drop(self.app_servers.remove(&server)),
+            Output::Watch => {
                 let _ = self.table.send(service_table::Ask::Watch);
             }
-            Action::Log { text } => info!("decisions: {text}"),
-            Action::Probe { server } => {
+            Output::Log { text } => info!("decisions: {text}"),
+            Output::Probe { server } => {
                 warn!(%server, "decisions asked for a probe; this balancer sends none")
             }
+            Output::Defect { defect, request } => {
+                error!(transaction = %request, "defect: {defect}; it was not carried out");
+            }
         }
     }
-
-    fn send(&mut self, now: Micros, request: &Id, server: &Id, until: Micros) {
-        let Some(ticket) = self.tickets.get(request).copied() else { return };
-        let Some(open) = self.open.get_mut(&ticket) else { return };
-        let (withdraw, withdrawn) = oneshot::channel();
-        let attempt = open.attempts.len() as u32;
-        open.attempts.push(Attempt { sent: now, out: true, withdraw: Some(withdraw) });
-        let report = Report::new(self.mailbox.clone(), ticket, attempt);
-        let Some(app_server) = self.app_servers.get(server) else {
-            warn!(%server, "an attempt at an app server that is not in the table");
-            return report.tell(Outcome::Moot, None);
-        };
-        let message = open.message.clone();
-        let assignment = Assignment { message, until, withdrawn, report };
-        if let Err(mpsc::error::SendError(app_server::Command::Start(unsent))) =
-            app_server.send(app_server::Command::Start(assignment))
-        {
-            unsent.report.tell(Outcome::Moot, None);
-        }
-    }
-
-    fn finish(&mut self, request: &Id, answer: impl FnOnce(&mut Open) -> FinalAnswer) {
-        let Some(ticket) = self.tickets.get(request).copied() else { return };
-        if let Some(open) = self.open.get_mut(&ticket)
-            && let Some(owed) = open.answer.take()
-        {
-            // The client may have left just now.
-            let _ = owed.send(answer(open));
-        }
-        self.settle(ticket);
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use gradepaddle::Settings;
-
-    use super::*;
-
-    /// Guards against a transaction that the decisions forget: past its deadline it fails by itself, once.
-    #[tokio::test(flavor = "current_thread")]
-    async fn a_forgotten_transaction_fails_at_the_backstop() {
-        let balancer = Balancer::new(Settings::default(), 1).expect("settings");
-        let ((mailbox, _inbox), (table, _asks)) = (Mailbox::new(), mpsc::unbounded_channel());
-        let (ready, _) = watch::channel(false);
-        let mut decision = Decision::new(balancer, "n".into(), Clock::start(), mailbox, table, ready);
-        let (answer, mut answered) = oneshot::channel();
-        let head = crate::http::Head::parse(b"GET / HTTP/1.1\r\n\r\n".to_vec()).expect("a head");
-        let body = crate::buffers::Pool::default().chain();
-        let message = Rc::new(Message::Http(crate::http::Message { head, body }));
-        let id: Id = "n-1".into();
-        let open = Open {
-            id: id.clone(),
-            own: Rc::from(*b"c1"),
-            message,
-            answer: Some(answer),
-            attempts: Vec::new(),
-            late: false,
-            reply: None,
-        };
-        decision.open.insert(1, open);
-        decision.tickets.insert(id, 1);
-        let now = decision.clock.now();
-        decision.deadlines.push(Reverse((now + 60_000_000, 1)));
-        decision.wake();
-        assert!(answered.try_recv().is_err(), "not before its time");
-        decision.deadlines.push(Reverse((now, 1)));
-        decision.wake();
-        assert!(matches!(answered.try_recv(), Ok(FinalAnswer::Failed { late: true, reply: None })));
-        assert!(decision.open.is_empty() && decision.tickets.is_empty());
-    }
 }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -9,6 +9,7 @@
 mod config;
 mod decision;
 mod http;
+mod mail;
 mod routed_task;
 mod service_table;
 mod sockets;
@@ -20,6 +21,7 @@
 use std::time::Duration;
 
 use gradepaddle::Balancer;
+use gradepaddle_dispatch::{Dispatch, Limits};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -100,21 +102,21 @@
     let balancer = balancer.map_err(|e| format!("field {e}"))?;
     let (ready, is_ready) = watch::channel(false);
     let (leave, phase) = watch::channel(Phase::Serving);
-    let (decision, events) = decision::Mailbox::new();
+    let (decision, mails) = mail::Mailbox::new();
     let (table, asks) = mpsc::unbounded_channel();
 
-    let deciding =
-        Decision::new(balancer, config.name.clone(), clock, decision.clone(), table.clone(), ready);
-    let mut deciding = spawn_local(deciding.run(events));
-    let app_servers = Rc::new(app_server::Context {
+    let routing = Rc::new(routed_task::Context {
         pool: pool.clone(),
         clock,
         budget: budget.clone(),
         dial_timeout: Duration::from_micros(config.deployment.dial_timeout),
         conn_idle: config.deployment.conn_idle,
     });
-    let listing =
-        ServiceTable::new(config.discovery, config.deployment.clone(), decision.clone(), app_servers);
+    let limits = Limits { grace: config.deployment.drain_grace, ..Limits::default() };
+    let dispatch = Dispatch::new(balancer, &config.deployment.settings, &config.name, limits);
+    let deciding = Decision::new(dispatch, decision.clone(), table.clone(), routing.clone(), ready);
+    let mut deciding = spawn_local(deciding.run(mails));
+    let listing = ServiceTable::new(config.discovery, config.deployment.clone(), decision.clone(), routing);
     let mut listing = spawn_local(listing.run(std::mem::take(&mut config.known), asks));
     let (alive, mut ended) = mpsc::channel(1);
     let deployment = config.deployment.clone();
--- a/daemon/src/routed_task.rs
+++ b/daemon/src/routed_task.rs
@@ -1,20 +1,49 @@
-//! One attempt at one app server. It ends in exactly one outcome, and the outcome says whether the
-//! attempt can have run: before the request's last byte is written it cannot, afterwards it may.
+//! One attempt at one app server. It ends once, and tells how far it was written and what ended it: before
+//! the request's last byte is written it cannot have run, afterwards it may.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
-use gradepaddle::{Micros, Outcome};
+use gradepaddle::Micros;
+use gradepaddle_dispatch::{Cause, Extent, Ticket};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep_until, timeout};
 
-use crate::app_server::{Command, Context, Entry};
 use crate::buffers::{Chain, Pool};
-use crate::decision;
+use crate::clock::Clock;
 use crate::http::{self, Connection, Framing};
-use crate::sockets::Side;
+use crate::mail;
+use crate::sockets::{Budget, Side};
 use crate::transaction::{Message, Reply};
 
+/// What all attempts share.
+pub struct Context {
+    /// Where buffers come from.
+    pub pool: Pool,
+    /// The daemon's clock.
+    pub clock: Clock,
+    /// The descriptor budget.
+    pub budget: Budget,
+    /// How long a connection may take to come up.
+    pub dial_timeout: Duration,
+    /// App servers close connections idle for this long.
+    pub conn_idle: Micros,
+}
+
+/// What holds of an app server at this moment.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct Entry {
+    /// Where it listens.
+    pub dial: SocketAddr,
+    /// May it be sent anything new?
+    pub open: bool,
+}
+
+/// Where a connection goes that can be used again; nowhere once its app server is forgotten.
+pub type Parking = mpsc::WeakUnboundedSender<Connection>;
+
 /// An attempt that is to be made.
 pub struct Assignment {
     /// What is sent.
@@ -23,79 +52,84 @@
     pub until: Micros,
     /// Comes, or its sender is dropped, when the attempt is withdrawn.
     pub withdrawn: oneshot::Receiver<()>,
-    /// Where its outcome goes.
+    /// Where its end goes.
     pub report: Report,
 }
 
-/// The duty to tell one outcome. Dropped without one, as by a panic, it tells the worst that fits.
+/// The duty to tell one end. Dropped without one, it tells the worst that fits.
 pub struct Report {
-    decision: decision::Mailbox,
-    ticket: Option<decision::Ticket>,
+    decision: mail::Mailbox,
+    ticket: Option<Ticket>,
     attempt: u32,
+    /// Nothing has been done about it yet.
+    unbegun: bool,
 }
 
 impl Report {
     /// The duty for this attempt of a transaction.
-    pub fn new(decision: decision::Mailbox, ticket: decision::Ticket, attempt: u32) -> Self {
-        Report { decision, ticket: Some(ticket), attempt }
+    pub fn new(decision: mail::Mailbox, ticket: Ticket, attempt: u32) -> Self {
+        Report { decision, ticket: Some(ticket), attempt, unbegun: true }
     }
 
-    /// Tells the outcome.
-    pub fn tell(mut self, outcome: Outcome, reply: Option<Reply>) {
-        self.send(outcome, reply);
+    /// Tells the end.
+    fn tell(mut self, extent: Extent, cause: Cause, reply: Option<Reply>) {
+        self.send(extent, cause, reply);
     }
 
-    fn send(&mut self, outcome: Outcome, reply: Option<Reply>) {
+    fn send(&mut self, extent: Extent, cause: Cause, reply: Option<Reply>) {
         if let Some(ticket) = self.ticket.take() {
-            self.decision.ended(ticket, self.attempt, outcome, reply);
+            self.decision.ended(ticket, self.attempt, extent, cause, reply);
         }
     }
 }
 
 impl Drop for Report {
     fn drop(&mut self) {
-        self.send(Outcome::Reset, None);
+        if self.unbegun {
+            // No actor took it: its app server was forgotten.
+            self.send(Extent::Nothing, Cause::NotTried, None);
+        } else {
+            // A panic, and nobody knows how far it had come.
+            self.send(Extent::Whole, Cause::Broke, None);
+        }
     }
 }
 
-/// Makes the attempt and tells its outcome. Ending early closes the connection.
+/// Makes the attempt and tells its end. Ending early closes the connection.
 pub async fn run(
     assignment: Assignment,
     reused: Option<Connection>,
     standing: watch::Receiver<Entry>,
-    app_server: mpsc::WeakUnboundedSender<Command>,
+    parking: Parking,
     context: Rc<Context>,
 ) {
-    let Assignment { message, until, withdrawn, report } = assignment;
-    let mut written = false;
-    let attempt = attempt(&message, until, reused, standing, &context, &mut written);
+    let Assignment { message, until, withdrawn, mut report } = assignment;
+    report.unbegun = false;
+    let mut extent = Extent::Nothing;
+    let attempt = attempt(&message, until, reused, standing, &context, &mut extent);
     let end = tokio::select! {
         biased;
-        end = attempt => Some(end),
-        _ = withdrawn => Some(End::of(Outcome::Cancelled)),
-        () = sleep_until(context.clock.instant(until)) => None,
+        end = attempt => end,
+        _ = withdrawn => End::of(Cause::Withdrawn),
+        () = sleep_until(context.clock.instant(until)) => End::of(Cause::OutOfTime),
     };
-    let end = end.unwrap_or_else(|| {
-        // Out of time before the last byte was written: the app server has not begun it.
-        End::of(if written { Outcome::TimedOut } else { Outcome::ConnectFailed })
-    });
-    if let (Some(connection), Some(app_server)) = (end.connection, app_server.upgrade()) {
+    if let (Some(connection), Some(parking)) = (end.connection, parking.upgrade()) {
         // If the actor has just ended, the connection closes here.
-        let _ = app_server.send(Command::Park(connection));
+        let _ = parking.send(connection);
     }
-    report.tell(end.outcome, end.reply);
+    report.tell(extent, end.cause, end.reply);
 }
 
 /// How an attempt ended, with what is left of it.
 struct End {
-    outcome: Outcome,
+    cause: Cause,
     reply: Option<Reply>,
     connection: Option<Connection>,
 }
 
 impl End {
-    fn of(outcome: Outcome) -> Self {
-        End { outcome, reply: None, connection: None }
+    fn of(cause: Cause) -> Self {
+        End { cause, reply: None, connection: None }
     }
 }
 
@@ -105,29 +139,30 @@
     reused: Option<Connection>,
     standing: watch::Receiver<Entry>,
     context: &Context,
-    written: &mut bool,
+    extent: &mut Extent,
 ) -> End {
     let Message::Http(request) = message;
     let mut connection = match reused {
         Some(connection) => connection,
         None => {
-            let Some(permit) = context.budget.take(Side::Server) else { return End::of(Outcome::Moot) };
+            let Some(permit) = context.budget.take(Side::Server) else { return End::of(Cause::NotTried) };
             let dial = standing.borrow().dial;
             match timeout(context.dial_timeout, TcpStream::connect(dial)).await {
                 Ok(Ok(stream)) => Connection::new(stream, &context.pool, permit),
-                _ => return End::of(Outcome::ConnectFailed),
+                _ => return End::of(Cause::NoConnection),
             }
         }
     };
     // A drain binds at the first byte, and the table may have changed during the dial.
     if !standing.borrow().open {
-        return End::of(Outcome::ConnectFailed);
+        return End::of(Cause::Closed);
     }
     let head = request_head(request, until.saturating_sub(context.clock.now()), &context.pool);
+    *extent = Extent::Part;
     if connection.write(&[&head, &request.body]).await.is_err() {
-        return End::of(Outcome::ConnectFailed);
+        return End::of(Cause::Broke);
     }
-    *written = true;
+    *extent = Extent::Whole;
     read_reply(request, connection).await
 }
 
@@ -153,42 +188,41 @@
     let (head, status) = loop {
         let head = match connection.read_head().await {
             Ok(head) => head,
-            Err(http::Fault::Ended) => return End::of(Outcome::Reset),
-            Err(_) => return End::of(Outcome::Error),
+            Err(http::Fault::Ended) => return End::of(Cause::Broke),
+            Err(_) => return End::of(Cause::Spoilt),
         };
         match head.status() {
             Ok(100..=199) if interim < MAX_INTERIM => interim += 1,
-            Ok(100..=199) => return End::of(Outcome::Error),
+            Ok(100..=199) => return End::of(Cause::Spoilt),
             Ok(status) => break (head, status),
-            Err(_) => return End::of(Outcome::Error),
+            Err(_) => return End::of(Cause::Spoilt),
         }
     };
     let bare = request.head.method() == "HEAD" || head.is_bare();
     let framing = if bare { Ok(Framing::Length(0)) } else { head.framing(Framing::UntilClose) };
-    let Ok(framing) = framing else { return End::of(Outcome::Error) };
+    let Ok(framing) = framing else { return End::of(Cause::Spoilt) };
     // Without a length the close ends it, and then it must be announced: else what is missing is the length,
     // lost from a head that was spoilt, and whatever came by the time of some close would pass as whole.
     if framing == Framing::UntilClose && head.keeps_alive() {
-        return End::of(Outcome::Error);
+        return End::of(Cause::Spoilt);
     }
     let body = match connection.read_body(framing).await {
         Ok(body) => body,
-        Err(http::Fault::Ended) => return End::of(Outcome::Reset),
-        Err(_) => return End::of(Outcome::Error),
+        Err(http::Fault::Ended) => return End::of(Cause::Broke),
+        Err(_) => return End::of(Cause::Spoilt),
     };
-    let outcome = match status {
-        200 => Outcome::Ok,
-        503 | 504 if head.get("x-unprocessed") == Some("1") => Outcome::Full,
+    let cause = match status {
+        200 => Cause::Served,
+        503 | 504 if head.get("x-unprocessed") == Some("1") => Cause::Unprocessed,
         // These speak of the moment or the connection, other 4xx of the request.
-        408 | 421 | 425 | 429 => Outcome::Error,
-        400..=499 => Outcome::Denied,
-        _ => Outcome::Error,
+        408 | 421 | 425 | 429 => Cause::Failed,
+        400..=499 => Cause::Denied,
+        _ => Cause::Failed,
     };
     let usable = framing != Framing::UntilClose && head.keeps_alive() && !connection.has_input();
     // A refusal says that trying again is harmless, whoever words it, so an app server's is never
     // passed on: here the request may have run.
-    let passes =
-        matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Denied) && !matches!(status, 429 | 503);
+    let passes = cause != Cause::Unprocessed && !matches!(status, 429 | 503);
     let reply = passes.then(|| Reply::Http(http::Message { head, body }));
-    End { outcome, reply, connection: usable.then_some(connection) }
+    End { cause, reply, connection: usable.then_some(connection) }
 }
--- a/daemon/src/service_table.rs
+++ b/daemon/src/service_table.rs
@@ -1,22 +1,21 @@
-//! The service table: discovery's list, kept by a watch. It is the one source of the app servers'
-//! addresses. When to watch anew is not decided here.
+//! The service table: discovery's list, read by a watch and handed on. When to watch anew, and what a list
+//! means for an app server, is not decided here.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use gradepaddle::settings::{Deployment, micros, place};
-use gradepaddle::{Id, ListKind, Micros, Server, State};
+use gradepaddle::{ListKind, Server, State};
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tracing::{info, warn};
 
-use crate::app_server::{self, Command, Entry};
-use crate::decision::{self, Change};
 use crate::http::{Chunks, Connection, Framing, line};
+use crate::mail::{self, Change};
+use crate::routed_task::Context;
 use crate::sockets::Side;
 
 /// Discovery sends an empty line every 2 s; a watch silent for this long is broken.
@@ -25,8 +24,6 @@
 const DIAL: Duration = Duration::from_secs(1);
 /// The longest line of a watch: room for the list of some thousand app servers.
 const MAX_LINE: usize = 1024 * 1024;
-/// An app server that has left the table is forgotten after this.
-const FORGET: Micros = 120_000_000;
 
 /// What the table is asked.
 pub enum Ask {
@@ -71,20 +68,13 @@
     1.0
 }
 
-struct Known {
-    mailbox: app_server::Mailbox,
-    entry: Entry,
-    gone: Option<Micros>,
-}
-
 /// The actor's state.
 pub struct ServiceTable {
     discovery: SocketAddr,
     deployment: Deployment,
-    decision: decision::Mailbox,
-    context: Rc<app_server::Context>,
+    decision: mail::Mailbox,
+    context: Rc<Context>,
     seq: u64,
-    known: HashMap<Id, Known>,
 }
 
 impl ServiceTable {
@@ -92,10 +82,10 @@
     pub fn new(
         discovery: SocketAddr,
         deployment: Deployment,
-        decision: decision::Mailbox,
-        context: Rc<app_server::Context>,
+        decision: mail::Mailbox,
+        context: Rc<Context>,
     ) -> Self {
-        ServiceTable { discovery, deployment, decision, context, seq: 0, known: HashMap::new() }
+        ServiceTable { discovery, deployment, decision, context, seq: 0 }
     }
 
     /// Starts from the last list and watches whenever asked to.
@@ -117,12 +107,7 @@
                 }
             };
             warn!(discovery = %self.discovery, seq = self.seq, "watch broken: {why}");
-            self.decision.table(Change {
-                kind: ListKind::Failed,
-                servers: Vec::new(),
-                added: Vec::new(),
-                forgotten: Vec::new(),
-            });
+            self.decision.table(Change { seq: self.seq, kind: ListKind::Failed, entries: Vec::new() });
         }
     }
 
@@ -201,90 +186,45 @@
     }
 
     fn apply(&mut self, listing: Listing, kind: ListKind) {
-        let now = self.context.clock.now();
         self.seq = listing.seq;
-        let (mut servers, mut added) = (Vec::new(), Vec::new());
+        let mut entries = Vec::with_capacity(listing.hosts.len());
         for host in listing.hosts {
             match serde_json::from_value::<Host>(host) {
-                Ok(host) => servers.extend(self.enter(now, host, &mut added)),
+                Ok(host) => entries.extend(self.entry(host)),
                 // One entry that cannot be read must not cost the rest of the list.
                 Err(e) => warn!("skipped an entry of the list: {e}"),
             }
         }
-        if kind != ListKind::Delta {
-            let missing: Vec<Id> = self
-                .known
-                .keys()
-                .filter(|id| !servers.iter().any(|server: &Server| server.id == **id))
-                .cloned()
-                .collect();
-            missing.iter().for_each(|id| self.leave(now, id));
-        }
-        let forgotten: Vec<Id> = self
-            .known
-            .iter()
-            .filter(|(_, known)| known.gone.is_some_and(|at| now > at + FORGET))
-            .map(|(id, _)| id.clone())
-            .collect();
-        forgotten.iter().for_each(|id| drop(self.known.remove(id)));
-        let up = self.known.values().filter(|known| known.entry.open).count();
-        info!(seq = self.seq, ?kind, entries = servers.len(), up, "service table");
-        self.decision.table(Change { kind, servers, added, forgotten });
+        self.decision.table(Change { seq: self.seq, kind, entries });
     }
 
-    /// Enters one app server and tells its actor; the decisions' view of it.
-    fn enter(
-        &mut self,
-        now: Micros,
-        host: Host,
-        added: &mut Vec<(Id, app_server::Mailbox)>,
-    ) -> Option<Server> {
-        let id: Id = host.host.as_str().into();
+    /// One entry as the decisions take it, with its address unless it is gone.
+    fn entry(&mut self, host: Host) -> Option<(Server, Option<SocketAddr>)> {
         let state = match host.health.as_str() {
             "up" => State::Ready,
             "removed" => State::Gone,
             // A state that is not known here is at least not up: it gets nothing new.
             _ => State::Draining,
         };
-        if state == State::Gone {
-            self.leave(now, &id);
-        } else {
+        let mut address = None;
+        if state != State::Gone {
             let dial = host.dial.as_deref().unwrap_or_default();
-            let Ok(dial) = dial.parse() else {
-                warn!(host = %id, dial, "skipped an entry of the list: no address");
+            address = dial.parse().ok();
+            if address.is_none() {
+                warn!(host = %host.host, dial, "skipped an entry of the list: no address");
                 return None;
-            };
-            let entry = Entry { dial, open: state == State::Ready };
-            match self.known.get_mut(&id) {
-                Some(known) => {
-                    known.gone = None;
-                    known.tell(entry);
-                }
-                None => {
-                    let mailbox = app_server::start(entry, self.context.clone());
-                    added.push((id.clone(), mailbox.clone()));
-                    self.known.insert(id.clone(), Known { mailbox, entry, gone: None });
-                }
             }
         }
-        Some(Server {
-            id,
+        let server = Server {
+            id: host.host.into(),
             zone: place(&mut self.deployment.zones, &host.site),
             kind: place(&mut self.deployment.kinds, &host.class),
             cell: host.block,
             state,
             weight: host.share,
             started: (host.born_ms > 0.0).then(|| micros(host.born_ms)),
-        })
-    }
-
-    fn leave(&mut self, now: Micros, id: &Id) {
-        // Where only a drain binds, one that is called gone stays usable while it answers.
-        let open = self.deployment.settings.only_draining_binds;
-        if let Some(known) = self.known.get_mut(id) {
-            known.gone = known.gone.or(Some(now));
-            known.tell(Entry { open: open && known.entry.open, ..known.entry });
-        }
+        };
+        Some((server, address))
     }
 }
 
@@ -297,13 +237,3 @@
         }
     }
 }
-
-impl Known {
-    fn tell(&mut self, entry: Entry) {
-        if self.entry != entry {
-            self.entry = entry;
-            // The actor lives as long as this mailbox.
-            let _ = self.mailbox.send(Command::Entry(entry));
-        }
-    }
-}
--- a/daemon/src/terminal.rs
+++ b/daemon/src/terminal.rs
@@ -2,6 +2,7 @@
 //! closes, and writes the one final answer.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use gradepaddle::settings::Deployment;
@@ -13,8 +14,8 @@
 
 use crate::buffers::{Chain, Pool};
 use crate::clock::Clock;
-use crate::decision;
 use crate::http::{self, Connection, Fault, Framing};
+use crate::mail;
 use crate::sockets::{Budget, Permit, Side, Wait};
 use crate::transaction::{FinalAnswer, Message, Reply, Transaction};
 
@@ -56,7 +57,7 @@
     /// The names and deadlines of classes and tenants.
     pub deployment: Deployment,
     /// Where transactions go.
-    pub decision: decision::Mailbox,
+    pub decision: mail::Mailbox,
     /// True once transactions can be served.
     pub ready: watch::Receiver<bool>,
     /// How far the daemon is on its way out.
@@ -274,7 +275,7 @@
     let (head, deployment) = (&request.head, &context.deployment);
     let ids: Vec<_> = head.all("x-correlation-id").collect();
     let own = match ids[..] {
-        [id] if !id.is_empty() => Rc::from(id),
+        [id] if !id.is_empty() => Arc::from(id),
         _ => return Err((400, "X-Correlation-Id must be given once")),
     };
     let first = head.target()[1..].split(['/', '?']).next().unwrap_or_default();
--- /dev/null
+++ b/dispatch/src/dispatch.rs
@@ -0,0 +1,551 @@
+//! The life of all open transactions: inputs in, the chooser asked, its actions checked, outputs out.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+
+use gradepaddle::{Action, Arrival, Ended, Event, Id, ListKind, Micros, Outcome, Server, Settings};
+
+use crate::attempt::{Attempt, Cause, Extent};
+use crate::chooser::Chooser;
+use crate::fleet::Fleet;
+use crate::guard::{Defect, Defects, Guard, Rulebook, Rules};
+use crate::io::{FinalAnswer, Input, Output, Ticket, Transaction};
+use crate::transaction::{Open, View};
+
+/// Spans that hold for a whole installation. All in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Limits {
+    /// So long after it was told that an app server drains or is gone, nothing new may be sent to it.
+    pub grace: Micros,
+    /// So long past its deadline a transaction may stay unanswered before it fails by itself.
+    pub backstop: Micros,
+    /// So long past its deadline an answered transaction waits for the ends of its attempts.
+    pub reap: Micros,
+    /// An app server that has left the table is forgotten after this.
+    pub forget: Micros,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { grace: 1_000_000, backstop: 10_000, reap: 5_000_000, forget: 120_000_000 }
+    }
+}
+
+/// An input that follows from what the guard did, told once the actions at hand are through.
+#[derive(Debug)]
+enum Echo {
+    /// An attempt that the chooser believes out was not made.
+    Moot { ticket: Ticket, attempt: u32 },
+    /// A transaction was ended without the chooser.
+    Left { ticket: Ticket },
+}
+
+/// Echoes that one input may cause. A chooser that answers each with another action is cut off here: the
+/// deadline still ends its transactions.
+const MOST_ECHOES: usize = 256;
+
+/// All open transactions of one balancer, round one chooser.
+#[derive(Clone, Debug)]
+pub struct Dispatch<C, M, R, G = Rules> {
+    chooser: C,
+    guard: G,
+    rulebook: Arc<Rulebook>,
+    limits: Limits,
+    name: Arc<str>,
+    fleet: Fleet,
+    open: BTreeMap<Ticket, Open<M, R>>,
+    /// The clients' ids of those that are open.
+    own: BTreeSet<Arc<[u8]>>,
+    /// When the chooser wants to be woken.
+    wakes: BTreeSet<Micros>,
+    /// When each open transaction is to be looked at, whatever the chooser does.
+    dues: BTreeSet<(Micros, Ticket)>,
+    defects: Defects,
+    /// Kept for its memory between inputs.
+    actions: Vec<Action>,
+}
+
+impl<C: Chooser, M: Clone, R> Dispatch<C, M, R> {
+    /// Nothing open, no app server known. `name` is this balancer's and goes into the transactions' ids.
+    pub fn new(chooser: C, settings: &Settings, name: &str, limits: Limits) -> Self {
+        Dispatch::guarded(chooser, Rules, settings, name, limits)
+    }
+}
+
+impl<C: Chooser, M: Clone, R, G: Guard> Dispatch<C, M, R, G> {
+    /// The same with another guard, for the exhaustive check.
+    pub fn guarded(chooser: C, guard: G, settings: &Settings, name: &str, limits: Limits) -> Self {
+        Dispatch {
+            chooser,
+            guard,
+            rulebook: Arc::new(Rulebook::new(settings, &limits)),
+            limits,
+            name: name.into(),
+            fleet: Fleet::new(settings.only_draining_binds),
+            open: BTreeMap::new(),
+            own: BTreeSet::new(),
+            wakes: BTreeSet::new(),
+            dues: BTreeSet::new(),
+            defects: Defects::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes in one input at this time and appends what the shell is to do.
+    pub fn handle(&mut self, now: Micros, input: Input<M, R>, out: &mut Vec<Output<M, R>>) {
+        let mut echoes = VecDeque::new();
+        match input {
+            Input::Taken { ticket, transaction } => self.taken(now, ticket, transaction, &mut echoes, out),
+            Input::Left { ticket } => {
+                if let Some(open) = self.open.get_mut(&ticket).filter(|open| open.owed) {
+                    open.owed = false;
+                    self.told_left(now, ticket, &mut echoes, out);
+                }
+            }
+            Input::Written { ticket, attempt, extent } => {
+                if let Some(of) = self.attempt(ticket, attempt) {
+                    of.extent = of.extent.max(extent);
+                }
+            }
+            Input::Ended { ticket, attempt, extent, cause, reply } => {
+                self.ended(now, ticket, attempt, extent, cause, reply, &mut echoes, out);
+            }
+            Input::List { kind, servers } => self.list(now, kind, servers, &mut echoes, out),
+            Input::Tick => self.tick(now, &mut echoes, out),
+        }
+        for _ in 0..MOST_ECHOES {
+            let Some(echo) = echoes.pop_front() else { return };
+            match echo {
+                Echo::Left { ticket } => self.told_left(now, ticket, &mut echoes, out),
+                Echo::Moot { ticket, attempt } => {
+                    let Some(open) = self.open.get(&ticket) else { continue };
+                    let (id, closed) = (open.id.clone(), !open.owed);
+                    let (outcome, took) = (Outcome::Moot, 0);
+                    let ended = Ended { request: &id, attempt, outcome, took, closed, report: None };
+                    self.decide(now, Event::Ended(ended), &mut echoes, out);
+                    self.settle(ticket);
+                }
+            }
+        }
+    }
+
+    /// When the next [`Input::Tick`] is due, if nothing else comes first.
+    pub fn due(&self) -> Option<Micros> {
+        let due = self.dues.first().map(|(at, _)| *at);
+        self.wakes.first().copied().into_iter().chain(due).min()
+    }
+
+    /// How many transactions are open: unanswered, or with an attempt out.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// True if none is open.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// The open transactions, in the order of their tickets.
+    pub fn views(&self) -> impl Iterator<Item = View<'_>> {
+        self.open.iter().map(|(ticket, open)| open.view(*ticket))
+    }
+
+    /// The app servers.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// How often a rule was about to be broken.
+    pub fn defects(&self) -> &Defects {
+        &self.defects
+    }
+
+    /// The chooser, to look at.
+    pub fn chooser(&self) -> &C {
+        &self.chooser
+    }
+
+    /// The chooser, for a check that plays it.
+    pub fn chooser_mut(&mut self) -> &mut C {
+        &mut self.chooser
+    }
+
+    fn attempt(&mut self, ticket: Ticket, attempt: u32) -> Option<&mut Attempt> {
+        let open = self.open.get_mut(&ticket)?;
+        open.attempts.get_mut(attempt as usize).filter(|attempt| attempt.is_out())
+    }
+
+    /// The ticket that an id of ours names. The chooser hands ids back unaltered.
+    fn ticket(&self, request: &str) -> Option<Ticket> {
+        request.strip_prefix(&*self.name)?.strip_prefix('-')?.parse().ok()
+    }
+
+    fn taken(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        transaction: Transaction<M>,
+        echoes: &mut VecDeque<Echo>,
+        out: &mut Vec<Output<M, R>>,
+    ) {
+        let Transaction { own, class, tenant, key, arrived, time_left, message } = transaction;
+        if !self.own.insert(own.clone()) {
+            // App servers know requests by their clients' ids: two at once could get each other's answers,
+            // and the second would look like a copy of the first.
+            out.push(Output::Answer { ticket, answer: FinalAnswer::Known });
+            return;
+        }
+        let id: Id = format!("{}-{ticket}", self.name).into();
+        let ends = arrived.saturating_add(time_left);
+        let due = ends.saturating_add(self.limits.backstop);
+        let open = Open {
+            id: id.clone(),
+            own,
+            class,
+            message,
+            ends,
+            owed: true,
+            attempts: Vec::new(),
+            late: false,
+            reply: None,
+            due,
+        };
+        self.open.insert(ticket, open);
+        self.dues.insert((due, ticket));
+        let ttl = ends.saturating_sub(now);
+        let arrival = Arrival { id, class, tenant, ttl, hint: None, key: key.as_deref() };
+        self.decide(now, Event::Request(arrival), echoes, out);
+        self.settle(ticket);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn ended(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        attempt: u32,
+        extent: Extent,
+        cause: Cause,
+        reply: Option<R>,
+        echoes: &mut VecDeque<Echo>,
+        out: &mut Vec<Output<M, R>>,
+    ) {
+        let forbids = self.guard.forbids(Defect::SecondAnswer);
+        // Told of a transaction that is forgotten, or twice: it changes nothing.
+        let Some(open) = self.open.get_mut(&ticket) else { return };
+        let Some(of) = open.attempts.get_mut(attempt as usize).filter(|of| of.is_out()) else { return };
+        // What was told to be written stays written, whatever the end says.
+        of.extent = of.extent.max(extent);
+        let outcome = match self.guard.outcome(of.extent, cause) {
+            // Nothing can be passed on.
+            Outcome::Ok if reply.is_none() => Outcome::Error,
+            outcome => outcome,
+        };
+        of.outcome = Some(outcome);
+        let took = now.saturating_sub(of.sent);
+        open.late = outcome == Outcome::TimedOut;
+        match (outcome, reply) {
+            (Outcome::Ok, Some(reply)) => {
+                if open.owed || !forbids {
+                    open.owed = false;
+                    out.push(Output::Answer { ticket, answer: FinalAnswer::Served(reply) });
+                }
+            }
+            (_, reply) => open.reply = reply,
+        }
+        let (id, closed) = (open.id.clone(), !open.owed);
+        let ended = Ended { request: &id, attempt, outcome, took, closed, report: None };
+        self.decide(now, Event::Ended(ended), echoes, out);
+        self.settle(ticket);
+    }
+
+    fn list(
+        &mut self,
+        now: Micros,
+        kind: ListKind,
+        servers: Vec<Server>,
+        echoes: &mut VecDeque<Echo>,
+        out: &mut Vec<Output<M, R>>,
+    ) {
+        let changes = self.fleet.take(now, kind, &servers, self.limits.forget);
+        // Before the chooser is asked, so that what is not yet on its way to a closed one stays here.
+        for (server, open) in changes.standing {
+            out.push(Output::Standing { server, open });
+        }
+        self.decide(now, Event::List { kind, servers }, echoes, out);
+        for server in changes.forgotten {
+            out.push(Output::Forgotten { server });
+        }
+    }
+
+    fn tick(&mut self, now: Micros, echoes: &mut VecDeque<Echo>, out: &mut Vec<Output<M, R>>) {
+        let mut woken = false;
+        while self.wakes.first().is_some_and(|at| *at <= now) {
+            self.wakes.pop_first();
+            woken = true;
+        }
+        if woken {
+            self.decide(now, Event::Wake, echoes, out);
+        }
+        while let Some((at, ticket)) = self.dues.first().copied()
+            && at <= now
+        {
+            self.dues.pop_first();
+            self.overdue(now, ticket, echoes, out);
+        }
+    }
+
+    /// Guards against a transaction that the chooser forgets, and against an attempt that the shell does:
+    /// past the deadline the one fails, long past it the other counts as ended.
+    fn overdue(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        echoes: &mut VecDeque<Echo>,
+        out: &mut Vec<Output<M, R>>,
+    ) {
+        let Some(open) = self.open.get_mut(&ticket) else { return };
+        if open.owed {
+            if self.guard.has_backstop() {
+                let id = open.id.clone();
+                self.found(Defect::Unanswered, id, out);
+                self.fail(ticket, true, out);
+                self.told_left(now, ticket, echoes, out);
+            }
+            // What is still out then has until the next look.
+            if let Some(open) = self.open.get_mut(&ticket) {
+                open.due = now.saturating_add(self.limits.reap);
+                self.dues.insert((open.due, ticket));
+            }
+            return;
+        }
+        let until = open.ends.saturating_add(self.limits.reap);
+        if now < until {
+            open.due = until;
+            self.dues.insert((until, ticket));
+            return;
+        }
+        let id = open.id.clone();
+        let out_now: Vec<(u32, Micros)> = open
+            .attempts
+            .iter_mut()
+            .enumerate()
+            .filter(|(_, attempt)| attempt.is_out())
+            .map(|(at, attempt)| {
+                attempt.outcome = Some(Outcome::TimedOut);
+                (at as u32, now.saturating_sub(attempt.sent))
+            })
+            .collect();
+        for (attempt, took) in out_now {
+            self.found(Defect::NeverEnded, id.clone(), out);
+            let outcome = Outcome::TimedOut;
+            let ended = Ended { request: &id, attempt, outcome, took, closed: true, report: None };
+            self.decide(now, Event::Ended(ended), echoes, out);
+        }
+        self.settle(ticket);
+    }
+
+    /// Tells the chooser that nothing is owed for this transaction any more.
+    fn told_left(
+        &mut self,
+        now: Micros,
+        ticket: Ticket,
+        echoes: &mut VecDeque<Echo>,
+        out: &mut Vec<Output<M, R>>,
+    ) {
+        let Some(open) = self.open.get(&ticket) else { return };
+        let id = open.id.clone();
+        self.decide(now, Event::Left { request: &id }, echoes, out);
+        self.settle(ticket);
+    }
+
+    /// Forgets a transaction that is answered and has no attempt out.
+    fn settle(&mut self, ticket: Ticket) {
+        if self.guard.forgets()
+            && self.open.get(&ticket).is_some_and(Open::is_done)
+            && let Some(open) = self.open.remove(&ticket)
+        {
+            self.dues.remove(&(open.due, ticket));
+            self.own.remove(&open.own);
+        }
+    }
+
+    fn decide(
+        &mut self,
+        now: Micros,
+        event: Event<'_>,
+        echoes: &mut VecDeque<Echo>,
+        out: &mut Vec<Output<M, R>>,
+    ) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.chooser.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.act(now, action, echoes, out);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, now: Micros, action: Action, echoes: &mut VecDeque<Echo>, out: &mut Vec<Output<M, R>>) {
+        match action {
+            Action::Send { request, server, until } => self.send(now, request, server, until, echoes, out),
+            Action::Refuse { request, pause } => self.refuse(request, pause, echoes, out),
+            Action::Fail { request } => self.give_up(request, out),
+            Action::Cancel { request, attempt } => {
+                if let Some(ticket) = self.ticket(&request)
+                    && let Some(of) = self.attempt(ticket, attempt)
+                    && !of.withdrawn
+                {
+                    of.withdrawn = true;
+                    out.push(Output::Withdraw { ticket, attempt });
+                }
+            }
+            Action::Wake { at } => {
+                self.wakes.insert(at);
+            }
+            Action::DropIdle { server } => out.push(Output::DropIdle { server }),
+            Action::Subscribe => out.push(Output::Watch),
+            Action::Log { text } => out.push(Output::Log { text }),
+            Action::Probe { server } => out.push(Output::Probe { server }),
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        request: Id,
+        server: Id,
+        until: Micros,
+        echoes: &mut VecDeque<Echo>,
+        out: &mut Vec<Output<M, R>>,
+    ) {
+        let ticket = self.ticket(&request);
+        let Some((ticket, open)) = ticket.and_then(|ticket| Some((ticket, self.open.get_mut(&ticket)?)))
+        else {
+            // Answered, and its last attempt has ended: there is nothing left to send.
+            self.found(Defect::SentAfterAnswer, request, out);
+            return;
+        };
+        let place = self.fleet.place(&server);
+        let known = self.fleet.standing(&server).zip(place);
+        let attempt = open.attempts.len() as u32;
+        let defect = self.rulebook.send(now, open, known).filter(|defect| self.guard.forbids(*defect));
+        open.attempts.push(Attempt {
+            server: server.clone(),
+            place: place.unwrap_or_default(),
+            sent: now,
+            extent: Extent::Nothing,
+            withdrawn: false,
+            // The chooser counts this attempt, so it is counted here too.
+            outcome: defect.map(|_| Outcome::Moot),
+        });
+        let Some(defect) = defect else {
+            // Nothing is waited for once the client has given up.
+            let (message, until) = (open.message.clone(), until.min(open.ends));
+            out.push(Output::Start { ticket, attempt, server, message, until });
+            return;
+        };
+        echoes.push_back(Echo::Moot { ticket, attempt });
+        self.found(defect, request, out);
+        // It never ran and breaks no promise: where to go instead is the chooser's to say.
+        if defect != Defect::SentToUnknown {
+            self.end_safely(ticket, echoes, out);
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        request: Id,
+        pause: Micros,
+        echoes: &mut VecDeque<Echo>,
+        out: &mut Vec<Output<M, R>>,
+    ) {
+        let Some(ticket) = self.owed(&request, out) else { return };
+        let lies = self.open.get(&ticket).is_some_and(|open| self.rulebook.refusal_lies(open));
+        if lies && self.guard.forbids(Defect::RefusedAfterRun) {
+            self.found(Defect::RefusedAfterRun, request, out);
+            self.end_safely(ticket, echoes, out);
+            return;
+        }
+        if let Some(open) = self.open.get_mut(&ticket) {
+            open.owed = false;
+        }
+        out.push(Output::Answer { ticket, answer: FinalAnswer::Refused { pause } });
+        self.settle(ticket);
+    }
+
+    fn give_up(&mut self, request: Id, out: &mut Vec<Output<M, R>>) {
+        let Some(ticket) = self.owed(&request, out) else { return };
+        let late = self.open.get(&ticket).is_some_and(Open::is_late);
+        self.fail(ticket, late, out);
+        self.settle(ticket);
+    }
+
+    /// The ticket of a transaction that may be answered.
+    fn owed(&mut self, request: &Id, out: &mut Vec<Output<M, R>>) -> Option<Ticket> {
+        let ticket = self.ticket(request);
+        let owed = ticket.is_some_and(|ticket| self.open.get(&ticket).is_some_and(|open| open.owed));
+        if !owed && self.guard.forbids(Defect::SecondAnswer) {
+            self.found(Defect::SecondAnswer, request.clone(), out);
+            return None;
+        }
+        ticket
+    }
+
+    /// Answers with a failure that claims nothing.
+    fn fail(&mut self, ticket: Ticket, late: bool, out: &mut Vec<Output<M, R>>) {
+        let mut reply = None;
+        if let Some(open) = self.open.get_mut(&ticket) {
+            open.owed = false;
+            reply = open.reply.take().filter(|_| !late);
+        }
+        out.push(Output::Answer { ticket, answer: FinalAnswer::Failed { late, reply } });
+    }
+
+    /// Ends a transaction that the chooser was about to break a rule with.
+    fn end_safely(&mut self, ticket: Ticket, echoes: &mut VecDeque<Echo>, out: &mut Vec<Output<M, R>>) {
+        let Some(open) = self.open.get_mut(&ticket).filter(|open| open.owed) else { return };
+        if self.rulebook.cancel {
+            for (at, attempt) in open.attempts.iter_mut().enumerate() {
+                if attempt.is_out() && !attempt.withdrawn {
+                    attempt.withdrawn = true;
+                    out.push(Output::Withdraw { ticket, attempt: at as u32 });
+                }
+            }
+        }
+        self.fail(ticket, false, out);
+        echoes.push_back(Echo::Left { ticket });
+    }
+
+    fn found(&mut self, defect: Defect, request: Id, out: &mut Vec<Output<M, R>>) {
+        if self.defects.add(defect) {
+            out.push(Output::Defect { defect, request });
+        }
+    }
+}
+
+/// Equal in all that decides what comes next. Settings are the same throughout one exploration, and the
+/// counts of defects decide nothing.
+impl<C: PartialEq, M: PartialEq, R: PartialEq, G> PartialEq for Dispatch<C, M, R, G> {
+    fn eq(&self, other: &Self) -> bool {
+        self.chooser == other.chooser
+            && self.fleet == other.fleet
+            && self.open == other.open
+            && self.own == other.own
+            && self.wakes == other.wakes
+            && self.dues == other.dues
+    }
+}
+
+impl<C: Eq, M: Eq, R: Eq, G> Eq for Dispatch<C, M, R, G> {}
+
+impl<C: Hash, M: Hash, R: Hash, G> Hash for Dispatch<C, M, R, G> {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.chooser.hash(state);
+        self.fleet.hash(state);
+        self.open.hash(state);
+        self.own.hash(state);
+        self.wakes.hash(state);
+        self.dues.hash(state);
+    }
+}
--- /dev/null
+++ b/dispatch/src/lib.rs
@@ -0,0 +1,53 @@
+//! The life of a transaction, from the moment it is taken until its final answer is out and its last
+//! attempt has ended. There is no I/O, no clock and no protocol in here: a shell (the daemon, an emulator,
+//! a plug-in, the exhaustive check) hands over every [`Input`] with the time and carries out the
+//! [`Output`]s that it gets back. Messages and replies are opaque.
+//!
+//! The decisions stay in the [`Chooser`], of which [`gradepaddle::Balancer`] is the one in service. What
+//! [`Dispatch`] adds is what must hold *whatever* is chosen (`docs/properties.md` names it and the code
+//! that keeps it): an action that would break a rule is not carried out, it is counted as a [`Defect`],
+//! and its transaction ends in the safe way, which is a failure that claims nothing.
+//!
+//! ```
+//! use gradepaddle::{Balancer, ListKind, Server, Settings, State};
+//! use gradepaddle_dispatch::{Cause, Dispatch, Extent, FinalAnswer, Input, Limits, Output, Transaction};
+//!
+//! let settings = Settings::default();
+//! let balancer = Balancer::new(settings.clone(), 7)?;
+//! let mut dispatch: Dispatch<_, &str, &str> = Dispatch::new(balancer, &settings, "n1", Limits::default());
+//! let mut out = Vec::new();
+//! let server = Server {
+//!     id: "a".into(), zone: 0, kind: 0, cell: 0, state: State::Ready, weight: 1.0, started: None,
+//! };
+//! dispatch.handle(0, Input::List { kind: ListKind::Full, servers: vec![server] }, &mut out);
+//! let transaction = Transaction {
+//!     own: (*b"c1").into(), class: 0, tenant: None, key: None, arrived: 10, time_left: 500_000, message: "GET /",
+//! };
+//! out.clear();
+//! dispatch.handle(10, Input::Taken { ticket: 1, transaction }, &mut out);
+//! assert!(out.iter().any(|o| matches!(o, Output::Start { ticket: 1, attempt: 0, message: "GET /", .. })));
+//! out.clear();
+//! let ended = Input::Ended {
+//!     ticket: 1, attempt: 0, extent: Extent::Whole, cause: Cause::Served, reply: Some("yes"),
+//! };
+//! dispatch.handle(900, ended, &mut out);
+//! assert!(out.contains(&Output::Answer { ticket: 1, answer: FinalAnswer::Served("yes") }));
+//! assert_eq!(dispatch.len(), 0);
+//! # Ok::<(), gradepaddle::SettingsError>(())
+//! ```
+
+mod attempt;
+mod chooser;
+mod dispatch;
+mod fleet;
+mod guard;
+mod io;
+mod transaction;
+
+pub use attempt::{Cause, Extent, outcome};
+pub use chooser::Chooser;
+pub use dispatch::{Dispatch, Limits};
+pub use fleet::{Fleet, Place, Standing};
+pub use guard::{Defect, Defects, Guard, Rules};
+pub use io::{FinalAnswer, Input, Output, Ticket, Transaction};
+pub use transaction::{Standpoint, View};
--- a/src/api.rs
+++ b/src/api.rs
@@ -284,7 +284,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
     /// Served.
     Ok,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -49,6 +49,10 @@
     250.0
 }
 
+fn usual_grace() -> f64 {
+    1_000.0
+}
+
 fn one_gateway() -> u32 {
     1
 }
@@ -125,6 +129,8 @@
     fall_multiple: Option<f64>,
     tip_after_ms: Option<f64>,
     ask_within_ms: Option<f64>,
+    #[serde(default = "usual_grace")]
+    drain_grace_ms: f64,
     #[serde(default)]
     dropped_stay_open: bool,
 }
@@ -152,6 +158,8 @@
     pub conn_idle: Micros,
     /// A connection that is not up by then has failed.
     pub dial_timeout: Micros,
+    /// So long after it was told that a server drains or is gone, nothing new may be sent to it.
+    pub drain_grace: Micros,
 }
 
 impl Config {
@@ -168,6 +176,7 @@
             kinds,
             conn_idle: micros(limits.conn_idle_ms),
             dial_timeout: micros(limits.dial_timeout_ms),
+            drain_grace: micros(self.rules.drain_grace_ms),
         })
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::fmt::{self, Write as _};
 use std::hash::{BuildHasherDefault, Hasher};
 
 use crate::api::*;
@@ -42,7 +43,7 @@
 }
 
 /// One gateway's balancer.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Balancer {
     pub(crate) settings: Settings,
     pub(crate) random: u64,
@@ -83,8 +84,66 @@
     pub(crate) tally: Tally,
 }
 
+impl Balancer {
+    /// Feeds all that this balancer remembers into a hash, so that a search over orders of events knows
+    /// states apart. Its settings are left out: they never change. Equal memories may come out unequal
+    /// (where a table lists the same entries in another order), unequal ones never equal but for chance.
+    pub fn digest(&self, state: &mut impl Hasher) {
+        // Named one by one, so that a new field is not forgotten here.
+        let Balancer {
+            settings: _,
+            random,
+            servers,
+            names,
+            free,
+            ready,
+            trial,
+            open,
+            listed,
+            requests,
+            reviews,
+            sequence,
+            armed,
+            ask_at,
+            ask_failed,
+            young,
+            old,
+            classes,
+            tokens,
+            top_worth,
+            warm_share,
+            retries,
+            refreshed,
+            drain,
+            mean_wait,
+            even,
+            briefs,
+            odds,
+            kept,
+            tally,
+        } = self;
+        let mut text = Text(state);
+        // Hashing text cannot fail.
+        let _ = write!(text, "{random} {servers:?}{names:?}{free:?}{ready:?}{trial:?}{open:?}{listed}");
+        let _ =
+            write!(text, "{requests:?}{reviews:?}{sequence} {armed} {ask_at} {ask_failed} {young:?}{old:?}");
+        let _ = write!(text, "{classes:?}{tokens:?}{top_worth} {warm_share} {retries} {refreshed} {drain} ");
+        let _ = write!(text, "{mean_wait:?}{even}{briefs:?}{odds:?}{kept:?}{tally:?}");
+    }
+}
+
+/// Text that is hashed instead of kept.
+struct Text<'a, H>(&'a mut H);
+
+impl<H: Hasher> fmt::Write for Text<'_, H> {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        self.0.write(text.as_bytes());
+        Ok(())
+    }
+}
+
 /// What this gateway knows of a server.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Peer {
     pub id: Id,
     pub hash: u64,
@@ -139,7 +198,7 @@
     pub spent: VecDeque<(Micros, f64)>,
 }
 
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub struct Attempt {
     pub server: usize,
     pub life: u32,
@@ -153,6 +212,7 @@
     pub outcome: Option<Outcome>,
 }
 
+#[derive(Clone, Debug)]
 pub struct Request {
     pub class: usize,
     pub key: u64,
@@ -176,7 +236,7 @@
     No,
 }
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Seen {
     /// Running low and mean of the time to an answer.
     pub floor: f64,
@@ -194,6 +254,7 @@
     pub work: f64,
 }
 
+#[derive(Clone, Debug)]
 pub struct Holder {
     pub server: usize,
     pub life: u32,
@@ -201,7 +262,7 @@
 }
 
 /// What each choice reads of a server.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Brief {
     pub hash: u64,
     /// Expected wait.
@@ -214,6 +275,7 @@
 }
 
 /// A server that may take the request.
+#[derive(Clone, Debug)]
 pub struct Seat {
     pub server: usize,
     pub order: u64,
@@ -227,7 +289,7 @@
 }
 
 /// What is known of a key: who holds it, and how often it came here lately.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Entry {
     pub holders: Vec<Holder>,
     pub came: f64,
@@ -247,7 +309,7 @@
 }
 
 /// Figures over all servers, zero at the start.
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Tally {
     pub mean_work: f64,
     /// Mean time by work on an otherwise empty server, for hits and for misses.
