Make the dial a step of its own in the exploration

Need: a drain told between choice and dial and one told between dial and first byte were one step in the exploration.

Change: a connection that comes up is a step; a drain behind the first byte has a test.

--- a/check/src/world.rs
+++ b/check/src/world.rs
@@ -48,6 +48,8 @@
     client: u8,
     server: u8,
     until: Micros,
+    /// Its connection is up.
+    up: bool,
     extent: Extent,
     /// How far dispatch was told that it is written.
     told: Extent,
@@ -111,7 +113,9 @@
     Cancel(u8, u32),
     /// An attempt's connection does not come up.
     NoConnection(u8, u32),
-    /// An attempt's connection is up and its first byte is due.
+    /// An attempt's connection is up.
+    Dial(u8, u32),
+    /// An attempt's first byte is due.
     FirstByte(u8, u32),
     /// The last byte is written; nothing is told of it yet.
     LastByte(u8, u32),
@@ -252,7 +256,8 @@
                 steps.push(Step::End(c, a, Cause::Withdrawn));
             }
             match f.extent {
-                Extent::Nothing => steps.extend([Step::NoConnection(c, a), Step::FirstByte(c, a)]),
+                Extent::Nothing if f.up => steps.push(Step::FirstByte(c, a)),
+                Extent::Nothing => steps.extend([Step::NoConnection(c, a), Step::Dial(c, a)]),
                 Extent::Part => steps.extend([Step::LastByte(c, a), Step::End(c, a, Cause::Broke)]),
                 Extent::Whole => {
                     let ends = [Cause::Served, Cause::Failed, Cause::Unprocessed, Cause::Broke];
@@ -378,6 +383,7 @@
                 self.choose(case, Action::Cancel { request, attempt });
             }
             Step::NoConnection(c, a) => self.end(case, c, a, Cause::NoConnection)?,
+            Step::Dial(c, a) => self.flight(c, a)?.up = true,
             Step::FirstByte(c, a) => {
                 let (now, grace) = (self.now, case.limits().grace);
                 let server = self.flight(c, a)?.server;
@@ -531,8 +537,9 @@
                 if attempt >= case.sizes.attempts {
                     self.breaks(Property::AttemptLimit);
                 }
-                let (extent, told, withdrawn) = (Extent::Nothing, Extent::Nothing, false);
-                let flight = Flight { ticket, attempt, client, server: at, until, extent, told, withdrawn };
+                let (up, extent, told, withdrawn) = (false, Extent::Nothing, Extent::Nothing, false);
+                let flight =
+                    Flight { ticket, attempt, client, server: at, until, up, extent, told, withdrawn };
                 let place = self.flights.partition_point(|other| *other < flight);
                 self.flights.insert(place, flight);
             }
@@ -580,6 +587,7 @@
             Step::Fail(c) => write!(f, "the chooser gives transaction {c} up"),
             Step::Cancel(c, a) => write!(f, "the chooser withdraws routed task {a} of transaction {c}"),
             Step::NoConnection(c, a) => write!(f, "routed task {a} of transaction {c} gets no connection"),
+            Step::Dial(c, a) => write!(f, "routed task {a} of transaction {c} has its connection"),
             Step::FirstByte(c, a) => write!(f, "routed task {a} of transaction {c} comes to its first byte"),
             Step::LastByte(c, a) => write!(f, "routed task {a} of transaction {c} writes its last byte"),
             Step::Record(c, a) => {
--- a/dispatch/tests/hard_cases.rs
+++ b/dispatch/tests/hard_cases.rs
@@ -171,6 +171,18 @@
     assert_eq!(starts(&bench.send("n-1", "b")), 1);
 }
 
+/// The other side of it: what has begun before the drain was told is finished there.
+#[test]
+fn a_drain_behind_the_first_byte_lets_the_attempt_end() {
+    let mut bench = Bench::new();
+    bench.take(1, b"c", UNSAFE);
+    bench.send("n-1", "a");
+    bench.tell(Input::Written { ticket: 1, attempt: 0, extent: Extent::Part });
+    let out = bench.list(ListKind::Delta, vec![server("a", State::Draining)]);
+    assert!(!out.iter().any(|output| matches!(output, Output::Withdraw { .. })));
+    assert_eq!(answers(&bench.end(1, 0, Extent::Whole, Cause::Served)), [(1, FinalAnswer::Served("r"))]);
+}
+
 #[test]
 fn a_replaced_app_server_keeps_its_attempt_and_the_new_one_starts_clean() {
     let mut bench = Bench::new();
