Let the bench of the decisions open 1,000 transactions as service would

Need: the decisions refuse when much is out and nothing answered, so the bench stopped at 1,000 open. Change: others are answered between those that stay open.

--- a/dispatch/benches/dispatch.rs
+++ b/dispatch/benches/dispatch.rs
@@ -71,6 +71,13 @@
         self.ticket
     }
 
+    /// One that stays open. Others are answered meanwhile, as they would be in service: with many out and none
+    /// answered the decisions take the fleet for jammed.
+    fn open(&mut self) {
+        (0..20).for_each(|_| self.whole());
+        self.take();
+    }
+
     fn whole(&mut self) {
         let ticket = self.take();
         self.now += 50;
@@ -87,17 +94,13 @@
     for open in [10, 1_000] {
         group.bench_function(BenchmarkId::new("dispatch alone", open), |b| {
             let mut bench = Bench::new(|_| First);
-            (0..open).for_each(|_| {
-                bench.take();
-            });
+            (0..open).for_each(|_| bench.open());
             b.iter(|| bench.whole());
         });
         group.bench_function(BenchmarkId::new("with the decisions", open), |b| {
             let fresh = |settings: &Settings| Balancer::new(settings.clone(), 7).expect("settings");
             let mut bench = Bench::new(fresh);
-            (0..open).for_each(|_| {
-                bench.take();
-            });
+            (0..open).for_each(|_| bench.open());
             b.iter(|| bench.whole());
         });
     }
