--- a/daemon/src/decision.rs
+++ b/daemon/src/decision.rs
@@ -8,7 +8,7 @@
 use gradepaddle_dispatch::{Dispatch, Input, Output, Ticket};
 use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, sleep_until};
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 
 use crate::app_server;
 use crate::mail::{Change, Inbox, Mail, Mailbox};
@@ -84,12 +84,14 @@
             Mail::Asked { ticket, transaction, answer } => {
                 let channels = Channels { answer: Some(answer), withdraws: Vec::new() };
                 self.channels.insert(ticket, channels);
+                debug!(ticket, class = transaction.class, key = transaction.key, "taken");
                 self.hand_over(Input::Taken { ticket, transaction });
             }
             Mail::Input(input) => {
                 match &input {
                     Input::Left { ticket } => self.over(*ticket, |channels| drop(channels.answer.take())),
-                    Input::Ended { ticket, attempt, .. } => {
+                    Input::Ended { ticket, attempt, extent, cause, .. } => {
+                        debug!(ticket, attempt, ?extent, ?cause, "ended");
                         let attempt = *attempt as usize;
                         self.over(*ticket, |channels| {
                             channels.withdraws.get_mut(attempt).map(Option::take);
@@ -151,6 +153,7 @@
         };
         match output {
             Output::Start { ticket, attempt, server, message, until } => {
+                debug!(ticket, attempt, %server, "attempt");
                 let (withdraw, withdrawn) = oneshot::channel();
                 let channels = self.channels.entry(ticket).or_default();
                 channels.withdraws.resize_with(attempt as usize, || None);
@@ -167,12 +170,15 @@
                 // It may have ended at this moment.
                 let _ = withdraw.map(|withdraw| withdraw.send(()));
             }),
-            Output::Answer { ticket, answer } => self.over(ticket, |channels| {
-                if let Some(sender) = channels.answer.take() {
-                    // The client may have left just now.
-                    let _ = sender.send(answer);
-                }
-            }),
+            Output::Answer { ticket, answer } => {
+                debug!(ticket, answer = answer.name(), "answer");
+                self.over(ticket, |channels| {
+                    if let Some(sender) = channels.answer.take() {
+                        // The client may have left just now.
+                        let _ = sender.send(answer);
+                    }
+                });
+            }
             Output::Standing { server, open } => command(&server, app_server::Command::Standing(open)),
             Output::DropIdle { server } => command(&server, app_server::Command::DropIdle),
             Output::Forgotten { server } => drop(self.app_servers.remove(&server)),
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -26,7 +26,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tracing::{error, info, warn};
+use tracing::{Level, debug, error, info, warn};
 
 use crate::clock::Clock;
 use crate::config::{Config, Occasion};
@@ -38,7 +38,17 @@
 const LEAVE: Duration = Duration::from_millis(1000);
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_target(false).with_ansi(false).init();
+    // `GRADEPADDLE_LOG=debug` adds a line for each attempt, connect and answer, for counts over a fleet.
+    let level = variable("GRADEPADDLE_LOG").map(|level| level.parse::<Level>());
+    let most = match &level {
+        Some(Ok(level)) => *level,
+        _ => Level::INFO,
+    };
+    tracing_subscriber::fmt().with_target(false).with_ansi(false).with_max_level(most).init();
+    if let Some(Err(fault)) = level {
+        error!("GRADEPADDLE_LOG: {fault}");
+        return ExitCode::FAILURE;
+    }
     let config = match Config::read(variable, Occasion::Start) {
         Ok(config) => config,
         Err(fault) => {
@@ -123,6 +133,7 @@
     let terminals = terminal::Context { pool, clock, budget, deployment, decision, ready: is_ready, phase };
     let mut accepting = spawn_local(terminal::accept(listener, Rc::new(terminals), alive));
     info!(name = config.name, listen = %address, discovery = %config.discovery, "started");
+    debug!(settings = ?config.deployment, sockets = config.sockets, "told");
     spawn_local(reload(hangup, config, table));
 
     let leaving = async {
--- a/daemon/src/routed_task.rs
+++ b/daemon/src/routed_task.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep_until, timeout};
+use tracing::debug;
 
 use crate::buffers::{Chain, Pool};
 use crate::clock::Clock;
@@ -147,6 +148,7 @@
         None => {
             let Some(permit) = context.budget.take(Side::Server) else { return End::of(Cause::NotTried) };
             let dial = standing.borrow().dial;
+            debug!(%dial, "connect");
             match timeout(context.dial_timeout, TcpStream::connect(dial)).await {
                 Ok(Ok(stream)) => Connection::new(stream, &context.pool, permit),
                 _ => return End::of(Cause::NoConnection),
--- a/daemon/src/service_table.rs
+++ b/daemon/src/service_table.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::http::{Chunks, Connection, Framing, line};
 use crate::mail::{self, Change};
@@ -120,6 +120,7 @@
 
     /// Watches until the watch ends, and says why it did.
     async fn watch(&mut self) -> String {
+        debug!(seq = self.seq, "call for the list");
         let Some(permit) = self.context.budget.take(Side::Server) else {
             return "no descriptor left".into();
         };
--- a/dispatch/src/io.rs
+++ b/dispatch/src/io.rs
@@ -51,6 +51,18 @@
     },
 }
 
+impl<R> FinalAnswer<R> {
+    /// Its kind in one word, for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            FinalAnswer::Served(_) => "served",
+            FinalAnswer::Refused { .. } => "refused",
+            FinalAnswer::Known => "known",
+            FinalAnswer::Failed { .. } => "failed",
+        }
+    }
+}
+
 /// What dispatch is told. Inputs come in the order in which they happened, with times that never go back.
 #[derive(Clone, Debug)]
 pub enum Input<M, R> {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -55,6 +55,9 @@
 const FORGET: Micros = 60_000_000;
 /// The shortest pause that a refused client is told.
 const LEAST_PAUSE: Micros = 50_000;
+/// Discovery serves all gateways in turn: one call takes about this long, and so many may come at once.
+const CALL: Micros = 60_000;
+const AT_ONCE: u32 = 16;
 /// Keys in each half of the table.
 const KEYS: usize = 20_000;
 
@@ -66,7 +69,7 @@
             random: mix(seed) | 1,
             open: vec![Vec::new(); settings.classes.len()],
             armed: Micros::MAX,
-            ask_at: if settings.ask_discovery { 0 } else { Micros::MAX },
+            ask_at: Micros::MAX,
             classes: settings.classes.iter().map(|c| Seen { aim: c.aim as f64, ..Seen::default() }).collect(),
             tokens: settings.tenants.iter().map(|_| (1.0, 0)).collect(),
             top_worth: settings.classes.iter().map(|c| c.worth).fold(0.0, f64::max),
@@ -121,13 +124,18 @@
             // A discovery outage: the last list holds, and gateways ask again at jittered, growing
             // intervals, or they would knock it over as it returns.
             self.ask_failed = (self.ask_failed + 1).min(5);
-            let most = (self.settings.ask_within / 4).max(1);
-            let wait = (250_000u64 << self.ask_failed).min(most);
+            let spread = self.spread();
+            let most = (self.settings.ask_within / 4).max(2 * spread).max(1);
+            let wait = ((250_000 << self.ask_failed) + (spread << (self.ask_failed - 1))).min(most);
             self.ask_at = now + wait / 2 + self.draw() % (wait / 2 + 1);
             return;
         }
         if kind != ListKind::Cached {
             self.ask_failed = 0;
+        } else if self.settings.ask_discovery && !self.listed {
+            // A fleet that starts, or restarts, at once: each calls in its own turn.
+            let turn = u64::from(self.settings.me) * self.spread() / u64::from(self.settings.gateways);
+            self.ask_at = now + turn;
         }
         let full = kind != ListKind::Delta;
         let (binds, probes) = (!self.settings.only_draining_binds, self.settings.probes);
@@ -200,6 +208,14 @@
         (0..self.servers.len()).for_each(|server| self.brief(server, now));
     }
 
+    /// Over how long the calls of all gateways are spread. Guards against a fleet that calls at once: calls
+    /// that have waited too long fail, are made again and keep discovery so busy that none comes through.
+    /// Nothing for few gateways. Harm: one that restarts alone has its old list for longer.
+    fn spread(&self) -> Micros {
+        let calls = u64::from(self.settings.gateways.saturating_sub(AT_ONCE));
+        (calls * CALL).min(self.settings.ask_within / 2)
+    }
+
     /// Sorts the servers: those that count, those that are only tried, those open to each class. Guards
     /// against servers that a list makes up or calls gone: one that never answered, or was dropped without
     /// draining, and fails to answer is no capacity and no key's home until a probe, or one request at
