Cold app servers help in a jam, fewer early copies, idle connections kept longer

The cold budget goes by what was answered in the last 2 s (`refresh`, kind_rate), which is little in a jam, and by share of a hundredth.

Ruled out: app servers that close idle connections early (no reset, no request written to one).

Change: the cold budget goes by the most that servers have borne, with a half-life of 30 s; where connections are priced, a lone request at a server counts as silent after four usual times instead of two; idle ones go after nine tenths.

--- a/daemon/src/app_server.rs
+++ b/daemon/src/app_server.rs
@@ -6,6 +6,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use gradepaddle::Micros;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
@@ -40,10 +41,15 @@
     mailbox
 }
 
+/// How long a connection is kept idle, where app servers close those idle for `conn_idle`. A request written
+/// as that happens is lost and may have run, so ours go before it; but in a large fleet each balancer comes
+/// back to an app server only after seconds, and a new connection costs both.
+fn kept(conn_idle: Micros) -> Duration {
+    Duration::from_micros(conn_idle / 10 * 9)
+}
+
 async fn run(entry: Entry, mut inbox: mpsc::UnboundedReceiver<Command>, context: Rc<Context>) {
-    // A request written when the app server closes the connection is lost and may have run, so idle
-    // connections go well before that.
-    let keep = Duration::from_micros(context.conn_idle / 5 * 3);
+    let keep = kept(context.conn_idle);
     let (standing, view) = watch::channel(entry);
     let (park, mut parked) = mpsc::unbounded_channel();
     // The oldest stands first; the one used last is used next.
@@ -109,3 +115,17 @@
     })
     .await
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards both ends: a request written just as the app server closes, with half a second for slow clocks and
+    /// lines at the usual 5 s, and connections closed that the next request would have used.
+    #[test]
+    fn idle_connections_go_shortly_before_their_app_server_closes_them() {
+        let kept = kept(5_000_000);
+        assert!(kept <= Duration::from_millis(4_500) && kept > Duration::from_millis(4_000), "{kept:?}");
+        assert!(super::kept(0).is_zero(), "none is kept where they may be closed at once");
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,6 +43,8 @@
 const OTHERS: f64 = 0.25;
 /// The part of the cold budget that is spent, since hints and peers misjudge.
 const COLD_SHARE: f64 = 0.7;
+/// Half-life of the most that servers have borne.
+const BORNE: f64 = 3e7;
 /// Requests that any class may have out.
 const SPARE: f64 = 4.0;
 /// An answer is overdue after so many usual times, at a silent server and at one that answers others.
@@ -700,7 +702,11 @@
         // A server that has answered others meanwhile is not silent: the request is just heavy, or lost.
         let Some(a) = r.attempts.last() else { return };
         let soon = ((now - a.sent) as f64) < OVERDUE[1] * self.classes[r.class].typical;
-        if self.servers[a.server].sign > a.sent && soon {
+        // Nor is one silent that has nothing else of mine: among hundreds of gateways that is the rule, and the
+        // copy that loses costs a connection, so it waits where those are priced.
+        let peer = &self.servers[a.server];
+        let alone = self.settings.handshake_price > 0.0 && peer.in_flight < 2;
+        if soon && (peer.sign > a.sent || alone) {
             return;
         }
         let left = r.useful.saturating_sub(now) as f64;
@@ -984,8 +990,12 @@
         }
         self.tally.all = self.tally.all.map(|x| x * recent);
         let window = self.settings.fall_after.max(1) as f64;
+        // What servers have borne they bear again. Guards against a jam in which little is answered, so that
+        // the cold, which should help most, get least. Harm: a cold server sent too much where speeds fell.
+        let kept = (-(span as f64) / BORNE).exp2();
         for (kind, (carried, n)) in kinds {
-            self.tally.kind_rate.insert(kind, carried / n / window);
+            let rate = self.tally.kind_rate.entry(kind).or_default();
+            *rate = (*rate * kept).max(carried / n / window);
         }
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -5,7 +5,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use common::{Bench, server};
+use common::{Bench, class, name, server};
 use gradepaddle::*;
 
 const SECOND: Micros = 1_000_000;
@@ -71,3 +71,71 @@
 fn a_few_gateways_call_at_once() {
     assert_eq!(watched(&[0; 3], 1_000, 2 * SECOND), (Some(3_000), 3));
 }
+
+/// Settings of a large fleet in which connections have a price.
+fn thin() -> Settings {
+    let classes = vec![class(Effect::Safe)];
+    Settings { classes, gateways: 100, handshake_price: 0.08, ..Settings::default() }
+}
+
+/// Guards against second copies on thin evidence: where a server has nothing else of ours, an answer that takes
+/// twice the usual is a heavy request as a rule. One that takes four times as long still gets its copy.
+#[test]
+fn a_lone_request_gets_its_copy_late_where_connections_are_priced() {
+    let copied = |settings: Settings, after: Micros| {
+        let mut bench = Bench::with_servers(settings, 20);
+        let now = bench.settle(0, 300);
+        bench.arrive(now, "r", "k", 10_000.0);
+        assert!(bench.sent().is_some());
+        // Woken whenever it asks for that.
+        let mut at = now;
+        while at <= now + after {
+            bench.event(at, Event::Wake);
+            if bench.sent().is_some() {
+                return true;
+            }
+            at += 1_000;
+        }
+        false
+    };
+    assert!(copied(Settings { handshake_price: 0.0, ..thin() }, 30_000));
+    assert!(!copied(thin(), 30_000));
+    assert!(copied(thin(), 60_000));
+}
+
+/// Guards against a cold budget that shrinks as the warm servers jam: what they answered before the jam tells
+/// what a cold one bears, not the little that they answer in it.
+#[test]
+fn a_cold_server_helps_also_while_the_warm_ones_jam() {
+    let sent_cold = |jam: bool| {
+        let settings = Settings { classes: vec![class(Effect::Unsafe)], ..Settings::default() };
+        let mut bench = Bench::with_servers(settings, 8);
+        let mut now = bench.settle(0, 500);
+        if jam {
+            // For three windows one in ten is answered.
+            for i in 0..120 {
+                let id = format!("jam{i}");
+                bench.arrive(now, &id, &format!("jam{i}"), 10_000.0);
+                if bench.sent().is_some() {
+                    let outcome = if i % 10 == 0 { Outcome::Ok } else { Outcome::TimedOut };
+                    bench.end(now + 40_000, &id, 0, outcome, 40_000);
+                }
+                now += 50_000;
+            }
+        }
+        let fresh = Server { started: Some(now), ..server(&name(8), 8) };
+        bench.list(now, ListKind::Delta, vec![fresh]);
+        let mut cold = 0;
+        for i in 0..50u64 {
+            let (at, id) = (now + i * 20_000, format!("r{i}"));
+            bench.arrive(at, &id, &format!("r{i}"), 10_000.0);
+            if bench.sent().is_some() {
+                cold += u32::from(bench.sent().as_deref() == Some(&name(8)));
+                bench.end(at + 10_000, &id, 0, Outcome::Ok, 10_000);
+            }
+        }
+        cold
+    };
+    let (calm, jam) = (sent_cold(false), sent_cold(true));
+    assert!(jam * 2 >= calm && calm > 0, "{jam} in a jam, {calm} without");
+}
