Let one error tell more of a server of which little else was heard

Each balancer sends an app server one request in four seconds, of one of four classes, and a failure moves only a third of that class's share and a twelfth of the others' (`learn`, FAULT and OTHERS): ~17 errors for each balancer.

Change: a failure's step is at least one part in as many outcomes as were heard of the server lately, for all classes.

Test: two servers of 20 that only err cost one gateway 2 errors, 8 before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -354,6 +354,7 @@
         let peer = &mut self.servers[server];
         peer.carried *= carried;
         peer.ghost *= ghost;
+        peer.heard *= fault;
         peer.faults.resize(self.classes.len(), 0.0);
         peer.errors.resize(self.classes.len(), 0);
         for ((share, class), errors) in peer.faults.iter_mut().zip(&self.classes).zip(&peer.errors) {
@@ -853,10 +854,17 @@
         }
         // What fails everywhere is the class's fault and costs no server its good name.
         let blame = 1.0 - seen.failing;
+        // Where little else was heard of a server, an error tells more, and of all classes: among hundreds of
+        // gateways each would else pay for the same proof. Harm: a stray error costs a server some traffic.
+        let fresh = if outcome == Outcome::TimedOut { 0.0 } else { 1.0 / (1.0 + peer.heard) };
+        peer.heard += 1.0;
         let mut judge = |to: f64, share: f64| {
-            let share = if to > 0.0 { share * blame } else { share };
+            let (share, others) = match to > 0.0 {
+                true => (share.max(fresh) * blame, OTHERS.max(fresh)),
+                false => (share, OTHERS),
+            };
             for (class, fault) in peer.faults.iter_mut().enumerate() {
-                *fault += (to - *fault) * share * if class == r.class { 1.0 } else { OTHERS };
+                *fault += (to - *fault) * share * if class == r.class { 1.0 } else { others };
             }
             seen.failing += (to - seen.failing) * LEARN;
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -182,6 +182,8 @@
     pub ghost: f64,
     /// Share of failures lately, by class; fades to the class's share everywhere.
     pub faults: Vec<f64>,
+    /// How many attempts have ended there lately.
+    pub heard: f64,
     /// Errors in a row lately, by class.
     pub errors: Vec<u32>,
     pub faded: Micros,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -139,3 +139,35 @@
     let (calm, jam) = (sent_cold(false), sent_cold(true));
     assert!(jam * 2 >= calm && calm > 0, "{jam} in a jam, {calm} without");
 }
+
+/// Guards against a bad server that is paid for by every gateway many times over: each meets it seldom, and
+/// with another class each time, but one error there is already most of what it has heard of that server.
+#[test]
+fn a_server_that_only_errs_costs_each_gateway_little() {
+    let classes: Vec<Class> = (0..4).map(|_| class(Effect::Unsafe)).collect();
+    let mut bench = Bench::with_servers(Settings { classes, ..thin() }, 20);
+    let mut errors = 0;
+    for i in 0..600u64 {
+        let (now, id) = (i * 65_000, format!("r{i}"));
+        let (class, key) = (i as usize % 4, format!("k{}", i % 150));
+        let arrival = Arrival {
+            id: id.as_str().into(),
+            class,
+            tenant: None,
+            ttl: 1_500_000,
+            hint: None,
+            key: Some(&key),
+        };
+        bench.event(now, Event::Request(arrival));
+        match bench.sent().as_deref() {
+            Some("a" | "b") => {
+                errors += 1;
+                bench.end(now + 5_000, &id, 0, Outcome::Error, 5_000);
+            }
+            Some(_) => bench.end(now + 20_000, &id, 0, Outcome::Ok, 20_000),
+            None => {}
+        }
+    }
+    // 60 of 600 would go there by chance.
+    assert!(errors > 0 && errors <= 4, "{errors} errors");
+}
