Leave a silent zone alone as a whole, and see a jam of the fleet sooner

Each of the 62 balancers left finds out about each of them by itself: 223 to 908 failed dials a second from 6 to 11 s, 250 ms each, and up to 1,445 time-outs a second on connections that have gone quiet. Two errors in a row are remembered by server only (`learn`, `heed`). At 9 s demand is half as high again, and the balancers let 2,500 attempts a second into app servers that can do 1,000: the load of others is read over one answer for each other balancer, 5.9 s (`refresh`, overdue).

Change: three failures in a row without an answer from a zone of eight servers or more make it suspect, while another zone is not: its idle connections are dropped, so that a trial cannot have run, and it gets one request at growing intervals until it answers or a start is told there. The mean load of all servers is read over four answers a server, not over a hundred.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -60,6 +60,9 @@
 /// Discovery serves all gateways in turn: one call takes about this long, and so many may come at once.
 const CALL: Micros = 60_000;
 const AT_ONCE: u32 = 16;
+/// A zone of so many servers of which none has answered through so many failures in a row is suspect.
+const REGION: usize = 8;
+const SILENT: u32 = 3;
 /// Keys in each half of the table.
 const KEYS: usize = 20_000;
 
@@ -179,6 +182,8 @@
                 peer.faults.clear();
                 peer.errors.clear();
                 peer.carried = 0.0;
+                // Whatever was the matter with its zone, something has started there.
+                self.zones.remove(&peer.zone);
             }
             if e.state == State::Gone {
                 dropped(peer, now, binds);
@@ -228,6 +233,7 @@
         self.ready = (0..self.servers.len()).filter(|s| state(s) == Some(true)).collect();
         self.trial = (0..self.servers.len()).filter(|s| state(s) == Some(false)).collect();
         self.weigh();
+        self.spans = self.ready.iter().map(|s| self.servers[*s].zone).collect::<BTreeSet<_>>().len();
         // Placement binds every attempt: nothing outside a class's open servers is ever looked at.
         for (open, class) in self.open.iter_mut().zip(&self.settings.classes) {
             let fits = |s: &usize| class.open_to(self.servers[*s].zone, self.servers[*s].kind);
@@ -255,6 +261,29 @@
         self.brief(server, now);
     }
 
+    /// Guards against a zone that is lost: each gateway would find out about each of its servers by itself, by
+    /// requests that may have run. After a few failures in a row with no answer from a whole zone it is left
+    /// alone, but for one request at growing intervals, while another zone is left. Harm: where a few servers
+    /// fail and nothing else is sent to their zone, it is left alone for a moment.
+    fn suspect(&self, zone: u32) -> Option<&Zone> {
+        let suspect = |z: &&Zone| z.silent >= SILENT && z.large;
+        let left = self.zones.values().filter(suspect).count() < self.spans;
+        self.zones.get(&zone).filter(suspect).filter(|_| left)
+    }
+
+    /// Notes how an attempt in a zone ended; true where that makes the zone suspect.
+    fn hear(&mut self, zone: u32, answered: bool) -> bool {
+        if answered {
+            self.zones.remove(&zone);
+            return false;
+        }
+        let size = self.ready.iter().filter(|s| self.servers[**s].zone == zone).count();
+        let seen = self.zones.entry(zone).or_default();
+        seen.silent += 1;
+        seen.large = size >= REGION;
+        seen.large && seen.silent == SILENT
+    }
+
     /// Each server's size beside the mean one's: as listed, or where the list tells none apart, by how
     /// fast its kind answers, in coarse steps, so that gateways agree in spite of noise.
     fn weigh(&mut self) {
@@ -427,6 +456,9 @@
             if !allowed || tried || (spare && wait / unit >= idle) {
                 continue;
             }
+            if !again && self.suspect(brief.zone).is_some_and(|zone| now < zone.trial) {
+                continue;
+            }
             let peer = &self.servers[s];
             let doubted = !brief.plain && !peer.proven && !again && (peer.in_flight > 0 || now < peer.trial);
             if doubted || (!brief.plain && !self.bears(peer, r.class, r.work, now)) {
@@ -638,6 +670,9 @@
         if peer.in_flight == 0 {
             peer.sign = now;
         }
+        if let Some(zone) = self.zones.get_mut(&peer.zone).filter(|zone| zone.silent >= SILENT) {
+            zone.trial = now + (TRIAL << (zone.silent - SILENT).min(3));
+        }
         peer.sent = now;
         peer.in_flight += 1;
         self.classes[r.class].out += 1;
@@ -725,7 +760,7 @@
             Some(a) if a.outcome.is_none() => {
                 a.outcome = Some(outcome);
                 let a = *a;
-                self.learn(now, &r, a, outcome, took as f64);
+                self.learn(now, &r, a, (outcome, took as f64), out);
                 self.brief(a.server, now);
             }
             _ => {}
@@ -802,7 +837,8 @@
         self.keep(id, r);
     }
 
-    fn learn(&mut self, now: Micros, r: &Request, a: Attempt, outcome: Outcome, took: f64) {
+    fn learn(&mut self, now: Micros, r: &Request, a: Attempt, ended: (Outcome, f64), out: &mut Vec<Action>) {
+        let (outcome, took) = ended;
         let Attempt { server, life, sent, work, met, hit, gap, .. } = a;
         let whole = r.work;
         let seen = &mut self.classes[r.class];
@@ -818,6 +854,22 @@
             return;
         }
         let silent = peer.sign <= sent;
+        let zone = peer.zone;
+        let lost = match outcome {
+            Outcome::Ok | Outcome::Full | Outcome::Error | Outcome::Denied => self.hear(zone, true),
+            // One that refuses a connection at once speaks for its zone.
+            Outcome::ConnectFailed if took > self.classes[r.class].typical => self.hear(zone, false),
+            Outcome::TimedOut if silent => self.hear(zone, false),
+            _ => false,
+        };
+        if lost {
+            // What is sent on a connection that has gone quiet may have run; a new one that does not come up tells.
+            let quiet = self.servers.iter_mut().filter(|p| p.zone == zone && p.idle.is_some());
+            out.extend(quiet.map(|p| {
+                p.idle = None;
+                Action::DropIdle { server: p.id.clone() }
+            }));
+        }
         match outcome {
             // A request at fault says nothing against the server that turns it down.
             Outcome::Ok | Outcome::Full | Outcome::Denied => self.heed(now, server, true),
@@ -949,7 +1001,7 @@
         self.refreshed = now;
         let overdue = (f64::from(self.settings.gateways - 1) * self.usual() / 2.0).max(1.0);
         let mut kinds: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
-        let mut usual = 0.0;
+        let (mut all, fleet) = (0.0, self.ready.len().max(1) as f64);
         for i in 0..self.ready.len() {
             let s = self.ready[i];
             self.faded(s, now);
@@ -957,7 +1009,7 @@
             let keep = (-(span as f64) / overdue).exp2();
             peer.usual += (peer.work - peer.usual) * (1.0 - keep);
             peer.weight *= keep;
-            usual += peer.usual;
+            all += peer.work;
             let peer = &self.servers[s];
             if self.warmth(peer, now) >= 1.0 {
                 let (carried, n) = kinds.entry(peer.kind).or_default();
@@ -968,7 +1020,10 @@
         // A reading of one server counts by the attempts behind it, beside the mean of all: with few
         // requests a second it is noise, times the gateways. Guards against keys spilled and requests
         // refused on noise. Harm: a server that others alone overload shows in its answer times only.
-        usual /= self.ready.len().max(1) as f64;
+        // The mean of all is known as much sooner as there are servers: a jam must be seen while it builds.
+        let keep = (-(span as f64) / (EVIDENCE * overdue / fleet).max(self.usual().max(1.0))).exp2();
+        self.tally.usual += (all / fleet - self.tally.usual) * (1.0 - keep);
+        let usual = self.tally.usual;
         for i in 0..self.ready.len() {
             let peer = &mut self.servers[self.ready[i]];
             let expected = usual * peer.relative;
--- a/src/state.rs
+++ b/src/state.rs
@@ -76,6 +76,10 @@
     pub(crate) mean_wait: Vec<f64>,
     /// All servers are of one size.
     pub(crate) even: bool,
+    /// Zones from which nothing was heard since an attempt failed there.
+    pub(crate) zones: BTreeMap<u32, Zone>,
+    /// How many zones have servers.
+    pub(crate) spans: usize,
     pub(crate) briefs: Vec<Brief>,
     /// Failures by server and class, as odds.
     pub(crate) odds: Vec<f64>,
@@ -117,6 +121,8 @@
             drain,
             mean_wait,
             even,
+            zones,
+            spans,
             briefs,
             odds,
             kept,
@@ -128,7 +134,7 @@
         let _ =
             write!(text, "{requests:?}{reviews:?}{sequence} {armed} {ask_at} {ask_failed} {young:?}{old:?}");
         let _ = write!(text, "{classes:?}{tokens:?}{top_worth} {warm_share} {retries} {refreshed} {drain} ");
-        let _ = write!(text, "{mean_wait:?}{even}{briefs:?}{odds:?}{kept:?}{tally:?}");
+        let _ = write!(text, "{mean_wait:?}{even}{zones:?}{spans} {briefs:?}{odds:?}{kept:?}{tally:?}");
     }
 }
 
@@ -200,6 +206,17 @@
     pub spent: VecDeque<(Micros, f64)>,
 }
 
+/// A zone that does not answer.
+#[derive(Clone, Debug, Default)]
+pub struct Zone {
+    /// Failures in a row, at any of its servers.
+    pub silent: u32,
+    /// It has many servers.
+    pub large: bool,
+    /// When it may be tried again.
+    pub trial: Micros,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Attempt {
     pub server: usize,
@@ -319,6 +336,8 @@
     /// Sums over all servers like a server's own, and the mean work met.
     pub all: [f64; 2],
     pub mean_met: f64,
+    /// Mean of my work at a server, over the time of a few answers.
+    pub usual: f64,
     /// Share of attempts lately that brought no answer in time.
     pub lost: f64,
     /// Work that comes in here, by time.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -171,3 +171,88 @@
     // 60 of 600 would go there by chance.
     assert!(errors > 0 && errors <= 4, "{errors} errors");
 }
+
+/// Servers of three zones, eight each.
+fn three_zones(settings: Settings) -> Bench {
+    let mut bench = Bench::new(settings);
+    let servers = (0..24u8).map(|i| Server { zone: u32::from(i) / 8, ..server(&name(i), u32::from(i)) });
+    bench.list(0, ListKind::Full, servers.collect());
+    bench
+}
+
+/// Guards against a lost zone that is found out server by server: all gateways together would send it a request
+/// for each connection that they have there, and wait for a dial at each server besides.
+#[test]
+fn a_zone_that_falls_silent_is_left_alone_as_a_whole_and_found_again() {
+    let mut bench = three_zones(Settings { classes: vec![class(Effect::Unsafe)], ..thin() });
+    let (lost, back) = (20 * SECOND, 30 * SECOND);
+    let (mut sent, mut dropped, mut later) = (0, 0, 0);
+    for i in 0..700u64 {
+        let (now, id) = (i * 65_000, format!("r{i}"));
+        bench.arrive(now, &id, &format!("k{}", i % 150), 10_000.0);
+        let Some(server) = bench.sent() else { continue };
+        let there = ("i".."q").contains(&server.as_str());
+        if there && now > lost && now < back {
+            sent += 1;
+            bench.end(now + 60_000, &id, 0, Outcome::TimedOut, 60_000);
+            dropped += bench.out.iter().filter(|a| matches!(a, Action::DropIdle { .. })).count();
+        } else {
+            later += u32::from(there && now >= back);
+            bench.end(now + 20_000, &id, 0, Outcome::Ok, 20_000);
+        }
+    }
+    assert!(sent <= 9, "{sent} requests to a zone that answers none, of 51 by chance");
+    assert!(dropped >= 3, "{dropped} connections there dropped: what is sent on them may have run");
+    assert!(later >= 20, "{later} after it answers again");
+}
+
+/// A zone is left alone only while another is left: with all silent, each request is still tried somewhere.
+#[test]
+fn where_all_zones_are_silent_none_is_left_alone() {
+    let mut bench = three_zones(Settings { classes: vec![class(Effect::Unsafe)], ..thin() });
+    let mut tried = 0;
+    for i in 0..20u64 {
+        let (now, id) = (i * 65_000, format!("r{i}"));
+        bench.arrive(now, &id, &format!("k{i}"), 10_000.0);
+        tried += u32::from(bench.sent().is_some());
+        let mut attempt = 0;
+        while bench.sent().is_some() {
+            bench.end(now + 60_000, &id, attempt, Outcome::ConnectFailed, 60_000);
+            attempt += 1;
+        }
+    }
+    assert!(tried >= 15, "{tried} of 20 were tried");
+}
+
+/// Guards against a jam that is seen only after seconds: among a hundred gateways a server's own reading takes
+/// that long, but what all servers together hold of mine tells at once.
+#[test]
+fn a_jam_of_the_whole_fleet_is_seen_while_it_builds() {
+    let classes: Vec<Class> = (0..4).map(|_| class(Effect::Unsafe)).collect();
+    let mut bench = three_zones(Settings { classes, ..thin() });
+    let start = bench.settle(0, 400);
+    // From here on each answer takes 290 ms, of an aim of 300.
+    let (mut out, mut taken) = (Vec::new(), 0);
+    for i in 0..60u64 {
+        let now = start + i * 20_000;
+        while let Some((at, id)) = out.first().cloned().filter(|(at, _): &(Micros, String)| *at <= now) {
+            bench.end(at, &id, 0, Outcome::Ok, 290_000);
+            out.remove(0);
+        }
+        let (id, key) = (format!("jam{i}"), format!("k{i}"));
+        let arrival = Arrival {
+            id: id.as_str().into(),
+            class: i as usize % 4,
+            tenant: None,
+            ttl: 1_500_000,
+            hint: Some(10_000.0),
+            key: Some(&key),
+        };
+        bench.event(now, Event::Request(arrival));
+        if bench.sent().is_some() {
+            taken += 1;
+            out.push((now + 290_000, id));
+        }
+    }
+    assert!(taken < 22, "{taken} of 60 taken, each answered just within its aim");
+}
