--- a/src/choice.rs
+++ b/src/choice.rs
@@ -138,9 +138,8 @@
         if kind != ListKind::Cached {
             self.ask_failed = 0;
         } else if self.settings.ask_discovery && !self.listed {
-            // A fleet that starts, or restarts, at once: each calls in its own turn.
-            let turn = u64::from(self.settings.me) * self.spread() / u64::from(self.settings.gateways);
-            self.ask_at = now + turn;
+            self.ask_at =
+                now + u64::from(self.settings.me) * self.spread() / u64::from(self.settings.gateways);
         }
         let full = kind != ListKind::Delta;
         let (binds, probes) = (!self.settings.only_draining_binds, self.settings.probes);
@@ -182,7 +181,6 @@
                 peer.faults.clear();
                 peer.errors.clear();
                 peer.carried = 0.0;
-                // Whatever was the matter with its zone, something has started there.
                 self.zones.remove(&peer.zone);
             }
             if e.state == State::Gone {
@@ -215,9 +213,8 @@
         (0..self.servers.len()).for_each(|server| self.brief(server, now));
     }
 
-    /// Over how long the calls of all gateways are spread. Guards against a fleet that calls at once: calls
-    /// that have waited too long fail, are made again and keep discovery so busy that none comes through.
-    /// Nothing for few gateways. Harm: one that restarts alone has its old list for longer.
+    /// Over how long the calls of all gateways are spread, each in its turn. Guards against calls that wait too
+    /// long, are made again and keep discovery too busy for any. Harm: one that restarts alone waits too.
     fn spread(&self) -> Micros {
         let calls = u64::from(self.settings.gateways.saturating_sub(AT_ONCE));
         (calls * CALL).min(self.settings.ask_within / 2)
@@ -233,7 +230,8 @@
         self.ready = (0..self.servers.len()).filter(|s| state(s) == Some(true)).collect();
         self.trial = (0..self.servers.len()).filter(|s| state(s) == Some(false)).collect();
         self.weigh();
-        self.spans = self.ready.iter().map(|s| self.servers[*s].zone).collect::<BTreeSet<_>>().len();
+        self.spans.clear();
+        self.ready.iter().for_each(|s| *self.spans.entry(self.servers[*s].zone).or_default() += 1);
         // Placement binds every attempt: nothing outside a class's open servers is ever looked at.
         for (open, class) in self.open.iter_mut().zip(&self.settings.classes) {
             let fits = |s: &usize| class.open_to(self.servers[*s].zone, self.servers[*s].kind);
@@ -261,27 +259,24 @@
         self.brief(server, now);
     }
 
-    /// Guards against a zone that is lost: each gateway would find out about each of its servers by itself, by
-    /// requests that may have run. After a few failures in a row with no answer from a whole zone it is left
-    /// alone, but for one request at growing intervals, while another zone is left. Harm: where a few servers
-    /// fail and nothing else is sent to their zone, it is left alone for a moment.
-    fn suspect(&self, zone: u32) -> Option<&Zone> {
-        let suspect = |z: &&Zone| z.silent >= SILENT && z.large;
-        let left = self.zones.values().filter(suspect).count() < self.spans;
-        self.zones.get(&zone).filter(suspect).filter(|_| left)
+    /// A large zone from which nothing was heard through so many failures.
+    fn is_silent(&self, zone: u32) -> bool {
+        let large = self.spans.get(&zone).is_some_and(|servers| *servers >= REGION);
+        large && self.zones.get(&zone).is_some_and(|z| z.silent >= SILENT)
     }
 
-    /// Notes how an attempt in a zone ended; true where that makes the zone suspect.
+    /// Guards against a lost zone that each gateway finds out server by server, by requests that may have run:
+    /// while another zone is left, it gets one request at growing intervals until it answers. Harm: a zone of
+    /// which only a few servers fail, and that is sent nothing else, is left alone for a moment.
+    fn suspect(&self, zone: u32) -> bool {
+        self.is_silent(zone) && !self.spans.keys().all(|z| self.is_silent(*z))
+    }
+
+    /// Notes how an attempt in a zone ended; true where that makes it silent.
     fn hear(&mut self, zone: u32, answered: bool) -> bool {
-        if answered {
-            self.zones.remove(&zone);
-            return false;
-        }
-        let size = self.ready.iter().filter(|s| self.servers[**s].zone == zone).count();
-        let seen = self.zones.entry(zone).or_default();
-        seen.silent += 1;
-        seen.large = size >= REGION;
-        seen.large && seen.silent == SILENT
+        let silent = &mut self.zones.entry(zone).or_default().silent;
+        *silent = if answered { 0 } else { silent.saturating_add(1) };
+        *silent == SILENT && self.is_silent(zone)
     }
 
     /// Each server's size beside the mean one's: as listed, or where the list tells none apart, by how
@@ -452,11 +447,9 @@
                 Repeat::No => false,
             };
             let tried = r.attempts.iter().any(|a| a.server == s && (!again || a.outcome.is_none()));
+            let suspect = !again && self.suspect(brief.zone) && now < self.zones[&brief.zone].trial;
             let wait = brief.wait;
-            if !allowed || tried || (spare && wait / unit >= idle) {
-                continue;
-            }
-            if !again && self.suspect(brief.zone).is_some_and(|zone| now < zone.trial) {
+            if !allowed || tried || suspect || (spare && wait / unit >= idle) {
                 continue;
             }
             let peer = &self.servers[s];
@@ -738,8 +731,7 @@
         // A server that has answered others meanwhile is not silent: the request is just heavy, or lost.
         let Some(a) = r.attempts.last() else { return };
         let soon = ((now - a.sent) as f64) < OVERDUE[1] * self.classes[r.class].typical;
-        // Nor is one silent that has nothing else of mine: among hundreds of gateways that is the rule, and the
-        // copy that loses costs a connection, so it waits where those are priced.
+        // Nor is one that has nothing else of mine; and the copy that loses costs a connection.
         let peer = &self.servers[a.server];
         let alone = self.settings.handshake_price > 0.0 && peer.in_flight < 2;
         if soon && (peer.sign > a.sent || alone) {
@@ -862,13 +854,10 @@
             Outcome::TimedOut if silent => self.hear(zone, false),
             _ => false,
         };
-        if lost {
-            // What is sent on a connection that has gone quiet may have run; a new one that does not come up tells.
-            let quiet = self.servers.iter_mut().filter(|p| p.zone == zone && p.idle.is_some());
-            out.extend(quiet.map(|p| {
-                p.idle = None;
-                Action::DropIdle { server: p.id.clone() }
-            }));
+        // What is sent on a connection that has gone quiet may have run; a dial that fails has not.
+        for p in self.servers.iter_mut().filter(|p| lost && p.zone == zone && p.idle.is_some()) {
+            p.idle = None;
+            out.push(Action::DropIdle { server: p.id.clone() });
         }
         match outcome {
             // A request at fault says nothing against the server that turns it down.
@@ -906,17 +895,14 @@
         }
         // What fails everywhere is the class's fault and costs no server its good name.
         let blame = 1.0 - seen.failing;
-        // Where little else was heard of a server, an error tells more, and of all classes: among hundreds of
-        // gateways each would else pay for the same proof. Harm: a stray error costs a server some traffic.
-        let fresh = if outcome == Outcome::TimedOut { 0.0 } else { 1.0 / (1.0 + peer.heard) };
+        // An error tells more, and of all classes, where little else was heard. Harm: a stray one costs traffic.
+        let fresh =
+            if matches!(outcome, Outcome::Ok | Outcome::TimedOut) { 0.0 } else { 1.0 / (1.0 + peer.heard) };
         peer.heard += 1.0;
         let mut judge = |to: f64, share: f64| {
-            let (share, others) = match to > 0.0 {
-                true => (share.max(fresh) * blame, OTHERS.max(fresh)),
-                false => (share, OTHERS),
-            };
+            let share = if to > 0.0 { share.max(fresh) * blame } else { share };
             for (class, fault) in peer.faults.iter_mut().enumerate() {
-                *fault += (to - *fault) * share * if class == r.class { 1.0 } else { others };
+                *fault += (to - *fault) * share * if class == r.class { 1.0 } else { OTHERS.max(fresh) };
             }
             seen.failing += (to - seen.failing) * LEARN;
         };
@@ -1023,10 +1009,9 @@
         // The mean of all is known as much sooner as there are servers: a jam must be seen while it builds.
         let keep = (-(span as f64) / (EVIDENCE * overdue / fleet).max(self.usual().max(1.0))).exp2();
         self.tally.usual += (all / fleet - self.tally.usual) * (1.0 - keep);
-        let usual = self.tally.usual;
         for i in 0..self.ready.len() {
             let peer = &mut self.servers[self.ready[i]];
-            let expected = usual * peer.relative;
+            let expected = self.tally.usual * peer.relative;
             let mean = (peer.usual * peer.weight + expected * EVIDENCE) / (peer.weight + EVIDENCE);
             peer.others = f64::from(self.settings.gateways - 1) * mean;
         }
@@ -1053,8 +1038,7 @@
         }
         self.tally.all = self.tally.all.map(|x| x * recent);
         let window = self.settings.fall_after.max(1) as f64;
-        // What servers have borne they bear again. Guards against a jam in which little is answered, so that
-        // the cold, which should help most, get least. Harm: a cold server sent too much where speeds fell.
+        // What was borne is borne again, also by the cold in a jam that answers little. Harm: speeds that fell.
         let kept = (-(span as f64) / BORNE).exp2();
         for (kind, (carried, n)) in kinds {
             let rate = self.tally.kind_rate.entry(kind).or_default();
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,8 +78,8 @@
     pub(crate) even: bool,
     /// Zones from which nothing was heard since an attempt failed there.
     pub(crate) zones: BTreeMap<u32, Zone>,
-    /// How many zones have servers.
-    pub(crate) spans: usize,
+    /// How many servers each zone has.
+    pub(crate) spans: BTreeMap<u32, usize>,
     pub(crate) briefs: Vec<Brief>,
     /// Failures by server and class, as odds.
     pub(crate) odds: Vec<f64>,
@@ -134,7 +134,7 @@
         let _ =
             write!(text, "{requests:?}{reviews:?}{sequence} {armed} {ask_at} {ask_failed} {young:?}{old:?}");
         let _ = write!(text, "{classes:?}{tokens:?}{top_worth} {warm_share} {retries} {refreshed} {drain} ");
-        let _ = write!(text, "{mean_wait:?}{even}{zones:?}{spans} {briefs:?}{odds:?}{kept:?}{tally:?}");
+        let _ = write!(text, "{mean_wait:?}{even}{zones:?}{spans:?}{briefs:?}{odds:?}{kept:?}{tally:?}");
     }
 }
 
@@ -211,8 +211,6 @@
 pub struct Zone {
     /// Failures in a row, at any of its servers.
     pub silent: u32,
-    /// It has many servers.
-    pub large: bool,
     /// When it may be tried again.
     pub trial: Micros,
 }
