Copy lone requests later still, and let thin load readings count half as much

Change: a request that is alone at its server is overdue after six usual times, where connections are priced; eight instead of four attempts of evidence for the mean.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,7 +26,7 @@
 const PRIOR: f64 = 2.0;
 const RECENT: f64 = 2e6;
 /// Attempts that a mean reading of others' work counts for, beside a server's own.
-const EVIDENCE: f64 = 4.0;
+const EVIDENCE: f64 = 8.0;
 /// A key may give a home of its own this share of a mean server's work.
 const HOME: f64 = 0.5;
 /// Half-life of what is known of a key, and of a class's own wait.
@@ -47,8 +47,8 @@
 const BORNE: f64 = 3e7;
 /// Requests that any class may have out.
 const SPARE: f64 = 4.0;
-/// An answer is overdue after so many usual times, at a silent server and at one that answers others.
-const OVERDUE: [f64; 2] = [2.0, 4.0];
+/// An answer is overdue after so many usual times, at a silent server, one that answers others, a lone request.
+const OVERDUE: [f64; 3] = [2.0, 4.0, 6.0];
 /// Tries beyond the first that each first try pays for, and how many may be saved up.
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SAVED: f64 = 10.0;
@@ -730,11 +730,11 @@
         }
         // A server that has answered others meanwhile is not silent: the request is just heavy, or lost.
         let Some(a) = r.attempts.last() else { return };
-        let soon = ((now - a.sent) as f64) < OVERDUE[1] * self.classes[r.class].typical;
         // Nor is one that has nothing else of mine; and the copy that loses costs a connection.
         let peer = &self.servers[a.server];
         let alone = self.settings.handshake_price > 0.0 && peer.in_flight < 2;
-        if soon && (peer.sign > a.sent || alone) {
+        let usual = if alone { OVERDUE[2] } else { OVERDUE[usize::from(peer.sign > a.sent)] };
+        if ((now - a.sent) as f64) < usual * self.classes[r.class].typical.floor() {
             return;
         }
         let left = r.useful.saturating_sub(now) as f64;
