Let a second process take over the inherited listener, bans and table

Change: inherit.rs adopts and checks the listener through the filedescriptor crate's safe interface; handover/ keeps in $TMPDIR who lives, is ready and claims how many descriptors (a locked file each), bans (a file each) and the table; duty.rs knows a SIGTERM with an heir: nothing more is accepted, answers end connections, idle ones go at 0.65 s. Seen on the way: a process that starts on an old list left that over a newer table (a test that hung now and then); only what discovery told is left since. Three processes could claim more than there is (proptest); claims now grow only into what nobody claims, one process at a time.

--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -13,6 +13,10 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The descriptor of the clients' listening socket, where the platform hands one down.
+    pub inherited: Option<i32>,
+    /// The most memory the process may hold, in MB.
+    pub memory_mb: usize,
     /// Where operators call, if anywhere.
     pub admin_addr: Option<SocketAddr>,
     /// Where discovery is.
@@ -45,11 +49,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192 }
     }
 }
 
@@ -79,7 +84,7 @@
             ("name", self.name != fresh.name),
             ("listen", self.listen != fresh.listen),
             ("admin_addr", self.admin_addr != fresh.admin_addr),
-            ("limits", self.sockets != fresh.sockets),
+            ("limits", (self.sockets, self.memory_mb) != (fresh.sockets, fresh.memory_mb)),
             ("settings", self.deployment != fresh.deployment),
         ];
         differ.iter().filter(|(_, differs)| *differs).map(|(field, _)| *field).collect()
@@ -102,6 +107,11 @@
         let discovery = told("RELAY_DISCOVERY", "discovery", file.discovery)?;
         let admin_addr = variable("RELAY_ADMIN_ADDR").or(file.admin_addr);
         let admin_addr = admin_addr.map(|text| address("admin_addr", text)).transpose()?;
+        let inherited = variable("RELAY_INHERITED_FD").map(|text| {
+            let number = text.parse().ok().filter(|fd: &i32| *fd >= 0);
+            number.ok_or(format!("RELAY_INHERITED_FD: {text:?} is no descriptor"))
+        });
+        let inherited = inherited.transpose()?;
         if file.limits.sockets < FEWEST_SOCKETS {
             return Err(format!("field limits.sockets: {} is under {FEWEST_SOCKETS}", file.limits.sockets));
         }
@@ -111,6 +121,8 @@
         Ok(Config {
             name: told("RELAY_NAME", "name", file.name)?,
             listen: address("listen", listen)?,
+            inherited,
+            memory_mb: file.limits.memory_mb,
             admin_addr,
             discovery: address("discovery", discovery)?,
             seed: seed.map_err(|e| format!("field seed: {:?} is no hexadecimal number: {e}", file.seed))?,
--- a/daemon/src/decision.rs
+++ b/daemon/src/decision.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use gradepaddle::{Balancer, Id};
+use gradepaddle::{Balancer, Id, ListKind};
 use gradepaddle_dispatch::{Dispatch, Input, Output, Ticket};
 use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, sleep_until};
@@ -39,17 +39,26 @@
     app_servers: HashMap<Id, app_server::Mailbox>,
     channels: HashMap<Ticket, Channels>,
     outputs: Vec<Output<Rc<Message>, Reply>>,
-    ready: watch::Sender<bool>,
+    table_known: watch::Sender<Known>,
+}
+
+/// How far the service table is known.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Known {
+    /// App servers that it has named.
+    pub named: usize,
+    /// Discovery itself has told it, since the start.
+    pub told: bool,
 }
 
 impl Decision {
-    /// The decisions of this balancer. `ready` turns true once the table has named an app server.
+    /// The decisions of this balancer. `table_known` is kept up with the table.
     pub fn new(
         dispatch: Dispatch<Balancer, Rc<Message>, Reply>,
         mailbox: Mailbox,
         table: service_table::Mailbox,
         context: Rc<Context>,
-        ready: watch::Sender<bool>,
+        table_known: watch::Sender<Known>,
     ) -> Self {
         Decision {
             dispatch,
@@ -59,7 +68,7 @@
             app_servers: HashMap::new(),
             channels: HashMap::new(),
             outputs: Vec::new(),
-            ready,
+            table_known,
         }
     }
 
@@ -102,23 +111,16 @@
                 self.hand_over(input);
             }
             Mail::Table(change) => self.table(change),
+            // The caller may have gone; what it asked for holds.
+            Mail::Knows { server, told } => drop(told.send(self.dispatch.fleet().knows(&server))),
             Mail::Ban { server, out, told } => {
-                // The caller may have gone; what it asked for holds.
-                let _ = told.send(self.ban(server, out));
+                let fresh = self.dispatch.fleet().is_banned(&server) != out;
+                self.hand_over(Input::Ban { server, out });
+                let _ = told.send(fresh);
             }
         }
     }
 
-    fn ban(&mut self, server: Id, out: bool) -> Result<bool, String> {
-        let fleet = self.dispatch.fleet();
-        if !fleet.knows(&server) {
-            return Err(format!("{server:?} was never listed"));
-        }
-        let fresh = fleet.is_banned(&server) != out;
-        self.hand_over(Input::Ban { server, out });
-        Ok(fresh)
-    }
-
     /// Changes the channels of a transaction; the last one gone, it is forgotten.
     fn over(&mut self, ticket: Ticket, change: impl FnOnce(&mut Channels)) {
         let Some(channels) = self.channels.get_mut(&ticket) else { return };
@@ -144,10 +146,10 @@
         self.hand_over(Input::List { kind, servers });
         let up = self.dispatch.fleet().open();
         info!(seq, ?kind, entries = count, up, "service table");
-        if !self.app_servers.is_empty() && !*self.ready.borrow() {
-            info!(app_servers = self.app_servers.len(), "ready");
-            self.ready.send_replace(true);
-        }
+        let told = matches!(kind, ListKind::Full | ListKind::Delta);
+        self.table_known.send_modify(|known| {
+            (known.named, known.told) = (self.app_servers.len(), known.told || told);
+        });
     }
 
     fn hand_over(&mut self, input: Input<Rc<Message>, Reply>) {
--- a/daemon/src/door/mod.rs
+++ b/daemon/src/door/mod.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 use tracing::{info, warn};
 
+use crate::handover::Handover;
 use crate::mail;
 use crate::phase::Phase;
 use call::Call;
@@ -35,10 +36,12 @@
 pub struct Context {
     /// Where bans go.
     pub decision: mail::Mailbox,
-    /// True once the service table names app servers.
+    /// True once this process can serve.
     pub ready: watch::Receiver<bool>,
     /// What the process owes its clients.
     pub phase: Rc<Phase>,
+    /// Where bans are written down, if anywhere.
+    pub handover: Option<Rc<Handover>>,
 }
 
 /// The callers that are there, in the order in which they came; told to go by their notice.
@@ -154,7 +157,7 @@
     match call {
         Call::Ready if duty.is_leaving() => Err("not ready: leaving after SIGTERM".into()),
         Call::Ready if duty.is_drained() => Err("not ready: drained".into()),
-        Call::Ready if !*context.ready.borrow() => Err("not ready: no app server known".into()),
+        Call::Ready if !*context.ready.borrow() => Err("not ready: starting".into()),
         Call::Ready => Ok("ready".into()),
         Call::Disable(id) => ban(id, true, context).await,
         Call::Enable(id) => ban(id, false, context).await,
@@ -170,7 +173,14 @@
 }
 
 async fn ban(id: &Id, out: bool, context: &Context) -> Result<String, String> {
-    let fresh = context.decision.ban(id.clone(), out).await?;
+    if !context.decision.knows(id.clone()).await {
+        return Err(format!("{id:?} was never listed"));
+    }
+    // Written down first: what has been said yes to must outlast this process.
+    if let Some(handover) = &context.handover {
+        handover.ban(id, out)?;
+    }
+    let fresh = context.decision.ban(id.clone(), out).await;
     Ok(match (out, fresh) {
         (true, true) => format!("{id} is out"),
         (true, false) => format!("{id} was out already"),
--- a/daemon/src/duty.rs
+++ b/daemon/src/duty.rs
@@ -10,6 +10,9 @@
 const DRAINED: Micros = 1_800_000;
 /// After SIGTERM, the front goes on sending for a while, so that long all is accepted and answered.
 const LEAVE: Micros = 1_000_000;
+/// With an heir, clients that only wait are closed this long after SIGTERM: as late as can be, but before
+/// requests count that might be found unanswered at the end.
+const TO_HEIR: Micros = 650_000;
 
 /// What holds at some moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,12 +27,14 @@
     pub keeps: bool,
     /// New requests are turned away, which is harmless.
     pub refuses: bool,
+    /// What waits to be accepted is left to an heir.
+    pub to_heir: bool,
 }
 
 impl Stance {
     /// In service.
     pub const SERVING: Stance =
-        Stance { ready: true, accepts: true, parts: false, keeps: true, refuses: false };
+        Stance { ready: true, accepts: true, parts: false, keeps: true, refuses: false, to_heir: false };
 
     fn and(self, other: Stance) -> Stance {
         Stance {
@@ -38,6 +43,7 @@
             parts: self.parts || other.parts,
             keeps: self.keeps && other.keeps,
             refuses: self.refuses || other.refuses,
+            to_heir: self.to_heir || other.to_heir,
         }
     }
 }
@@ -46,7 +52,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Duty {
     drained: Option<Micros>,
-    leaves: Option<Micros>,
+    /// Since when it leaves, and whether an heir serves by then.
+    leaves: Option<(Micros, bool)>,
 }
 
 impl Duty {
@@ -61,9 +68,9 @@
         self.leaves.is_none()
     }
 
-    /// SIGTERM. Counts from the first one.
-    pub fn leave(&mut self, now: Micros) {
-        self.leaves.get_or_insert(now);
+    /// SIGTERM. Counts from the first one. An heir is another process that serves the same clients.
+    pub fn leave(&mut self, now: Micros, heir: bool) {
+        self.leaves.get_or_insert((now, heir));
     }
 
     /// True if the operators have drained it.
@@ -85,11 +92,20 @@
             parts: past(at, FRONT),
             keeps: !past(at, DRAINED),
             refuses: past(at, DRAINED),
+            to_heir: false,
         });
         // Until the front knows, clients keep their connections: it may have no other balancer to give them.
-        let leaves = self.leaves.map(|at| {
-            let over = past(at, LEAVE);
-            Stance { ready: false, accepts: !over, parts: over, keeps: !over, refuses: false }
+        let leaves = self.leaves.map(|(at, heir)| match heir {
+            false => {
+                let over = past(at, LEAVE);
+                let (ready, accepts, parts, keeps) = (false, !over, over, !over);
+                Stance { ready, accepts, parts, keeps, ..Stance::SERVING }
+            }
+            // To the front the two are one balancer, which is ready.
+            true => {
+                let keeps = !past(at, TO_HEIR);
+                Stance { accepts: false, parts: true, keeps, to_heir: true, ..Stance::SERVING }
+            }
         });
         [drained, leaves].into_iter().flatten().fold(Stance::SERVING, Stance::and)
     }
@@ -97,7 +113,8 @@
     /// When that changes by itself.
     pub fn due(&self, now: Micros) -> Option<Micros> {
         let at = |since: Option<Micros>, span| since.map(|since| since.saturating_add(span));
-        let turns = [at(self.drained, FRONT), at(self.drained, DRAINED), at(self.leaves, LEAVE)];
+        let leaves = self.leaves.map(|(at, heir)| at.saturating_add(if heir { TO_HEIR } else { LEAVE }));
+        let turns = [at(self.drained, FRONT), at(self.drained, DRAINED), leaves];
         turns.into_iter().flatten().filter(|at| *at > now).min()
     }
 }
@@ -129,7 +146,7 @@
     /// brings a process back that is on its way out. `due` names every moment at which something changes.
     #[test]
     fn drain_and_sigterm_mix_in_any_order() {
-        let call = prop_oneof![Just('d'), Just('r'), Just('t')];
+        let call = prop_oneof![Just('d'), Just('r'), Just('t'), Just('h')];
         let calls = prop::collection::vec((call, 0..900_000u64), 0..8);
         proptest!(crate::http::fixed(), |(calls in calls, wait in 0..5_000_000u64)| {
             let (mut duty, mut now) = (Duty::default(), 0);
@@ -138,10 +155,12 @@
                 match call {
                     'd' => drop(duty.drain(now)),
                     'r' => prop_assert_eq!(duty.resume(), !duty.is_leaving()),
-                    _ => duty.leave(now),
+                    call => duty.leave(now, call == 'h'),
                 }
                 let stance = duty.stance(now);
-                prop_assert_eq!(stance.ready, !duty.is_drained() && !duty.is_leaving());
+                let alone = duty.leaves.is_some_and(|(_, heir)| !heir);
+                prop_assert_eq!(stance.ready, !duty.is_drained() && !alone);
+                prop_assert!(stance.accepts || stance.parts, "what is taken off the backlog no more");
                 prop_assert!(stance.keeps || stance.parts);
             }
             let mut at = now;
--- /dev/null
+++ b/daemon/src/handover/record.rs
@@ -0,0 +1,202 @@
+//! What the files say by which processes of one balancer know of each other, and what follows. No I/O.
+
+use gradepaddle::Id;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// The version of all records. A file of another is not heeded.
+pub const VERSION: u32 = 1;
+/// Descriptors left for the first steps of a process that may come.
+pub const FIRST: usize = 40;
+/// A process on its way out may open so many more than it holds: attempts for what it still answers.
+const SLACK: usize = 8;
+/// A file's name is at most so long.
+const LONGEST: usize = 200;
+
+/// A ban, in a file of its own.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+pub struct Ban {
+    /// See [`VERSION`].
+    pub version: u32,
+    /// The app server.
+    pub server: String,
+}
+
+/// The service table as it was last told.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+pub struct Table {
+    /// See [`VERSION`].
+    pub version: u32,
+    /// Who told it: versions of another discovery mean nothing here.
+    pub discovery: String,
+    /// The list's version.
+    pub seq: u64,
+    /// The entries, as discovery writes them.
+    pub hosts: Vec<Value>,
+}
+
+/// A process that lives.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct Process {
+    /// See [`VERSION`].
+    pub version: u32,
+    /// When it started, in microseconds of Unix time.
+    pub born: u64,
+    /// Its number, which tells apart those that started at one moment.
+    pub pid: u32,
+    /// It can serve.
+    pub ready: bool,
+    /// It holds at most so many descriptors.
+    pub claim: usize,
+}
+
+/// What a process needs to know of the others that live.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Others {
+    /// There is an older one.
+    pub older: bool,
+    /// There is a younger one.
+    pub younger: bool,
+    /// A younger one can serve.
+    pub heir: bool,
+    /// What the older ones claim, and what all do.
+    pub before: usize,
+    pub claimed: usize,
+}
+
+impl Others {
+    /// What these are to this process.
+    pub fn of(me: &Process, others: &[Process]) -> Others {
+        let mut sum = Others::default();
+        for other in others {
+            sum.claimed += other.claim;
+            if (other.born, other.pid) < (me.born, me.pid) {
+                sum.older = true;
+                sum.before += other.claim;
+            } else {
+                sum.younger = true;
+                sum.heir |= other.ready;
+            }
+        }
+        sum
+    }
+
+    /// How many of the balancer's descriptors this process may hold, and says that it does. `holds` is what
+    /// it has at this moment, `last` what it claimed before.
+    pub fn claim(&self, sockets: usize, holds: usize, last: usize, leaving: bool) -> usize {
+        if leaving && self.heir {
+            // It takes nothing new, so what goes is the heir's for good.
+            return (holds + SLACK).min(last);
+        }
+        let room = sockets.saturating_sub(self.before);
+        let share = room.saturating_sub(if self.younger { FIRST.max(room / 4) } else { FIRST }).max(FIRST);
+        if share <= last {
+            // What it holds beyond its share it gives up by and by, and claims till then.
+            return share.max(holds.min(last));
+        }
+        // It grows into what nobody claims.
+        share.min(sockets.saturating_sub(self.claimed)).max(last)
+    }
+}
+
+/// A file's name for an id that may hold anything; none if it would be too long.
+pub fn name(kind: &str, id: &str) -> Option<String> {
+    let mut name = format!("{kind}-");
+    for byte in id.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' => name.push(char::from(byte)),
+            _ => name += &format!("%{byte:02x}"),
+        }
+    }
+    (name.len() <= LONGEST).then_some(name)
+}
+
+/// The app server that a ban's file is named for; none if no file of ours is named so.
+pub fn banned(file: &str) -> Option<Id> {
+    let (mut bytes, mut rest) = (Vec::new(), file.strip_prefix("ban-")?.bytes());
+    while let Some(byte) = rest.next() {
+        if byte != b'%' {
+            bytes.push(byte);
+            continue;
+        }
+        let digits = [rest.next()?, rest.next()?];
+        bytes.push(u8::from_str_radix(std::str::from_utf8(&digits).ok()?, 16).ok()?);
+    }
+    let id = String::from_utf8(bytes).ok()?;
+    (name("ban", &id)? == file).then(|| id.into())
+}
+
+/// The app server that a ban's file names, if the file is one of ours.
+pub fn ban(file: &str, text: &[u8]) -> Result<Id, String> {
+    let ban: Ban = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    if ban.version != VERSION {
+        return Err(format!("version {}, not {VERSION}", ban.version));
+    }
+    match name("ban", &ban.server) {
+        Some(own) if own == file => Ok(ban.server.into()),
+        _ => Err(format!("it names {:?}", ban.server)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    fn process(born: u64, ready: bool, claim: usize) -> Process {
+        Process { version: VERSION, born, pid: 1, ready, claim }
+    }
+
+    /// Guards against an id that reaches out of the folder, and two ids that share a file.
+    #[test]
+    fn any_id_has_a_file_name_of_its_own() {
+        proptest!(crate::http::fixed(), |(one in "\\PC{0,12}", two in "\\PC{0,12}")| {
+            let of = |id: &str| name("ban", id).expect("short");
+            prop_assert!(of(&one).bytes().all(|b| b.is_ascii_alphanumeric() || b"-_%".contains(&b)));
+            prop_assert_eq!(one == two, of(&one) == of(&two));
+            let text = serde_json::to_vec(&Ban { version: VERSION, server: one.clone() }).expect("text");
+            prop_assert_eq!(ban(&of(&one), &text), Ok(Id::from(one.as_str())));
+            prop_assert_eq!(banned(&of(&one)), Some(Id::from(one.as_str())));
+            for cut in 0..text.len() {
+                prop_assert!(ban(&of(&one), &text[..cut]).is_err(), "torn");
+            }
+            prop_assert!(one == two || ban(&of(&two), &text).is_err(), "foreign");
+        });
+        assert_eq!(name("ban", &"x".repeat(300)), None);
+        assert!(ban("ban-a", br#"{"version":2,"server":"a"}"#).is_err());
+    }
+
+    /// Guards the limit on descriptors that all processes of a balancer share, whatever each of them holds
+    /// and in whichever order they look: their claims never add up to more than there are.
+    #[test]
+    fn claims_never_add_up_to_more_than_there_is() {
+        let step = (0..3usize, 0..300usize, any::<bool>());
+        proptest!(crate::http::fixed(), |(steps in prop::collection::vec(step, 1..60))| {
+            const ALL: usize = 384;
+            let mut live: Vec<(Process, bool)> = Vec::new();
+            let mut born = 0;
+            for (which, wants, turn) in steps {
+                let sum: usize = live.iter().map(|(p, _)| p.claim).sum();
+                if live.is_empty() || (turn && which == 2 && sum + FIRST <= ALL) {
+                    born += 1;
+                    live.push((process(born, false, FIRST), false));
+                } else if turn && which == 1 && live.len() > 1 {
+                    live[0].1 = true;
+                } else if turn && which == 0 && live[0].1 {
+                    live.remove(0);
+                }
+                let at = which % live.len();
+                let (me, leaving) = live[at];
+                let rest: Vec<_> = live.iter().enumerate().filter(|(i, _)| *i != at).map(|(_, p)| p.0).collect();
+                let others = Others::of(&me, &rest);
+                let holds = wants.min(me.claim);
+                let claim = others.claim(ALL, holds, me.claim, leaving);
+                live[at].0 = Process { claim, ready: true, ..me };
+                let sum: usize = live.iter().map(|(p, _)| p.claim).sum();
+                prop_assert!(sum <= ALL, "{live:?}");
+                prop_assert!(!leaving || !others.heir || claim <= me.claim);
+            }
+        });
+    }
+}
--- a/daemon/src/mail.rs
+++ b/daemon/src/mail.rs
@@ -18,8 +18,10 @@
     Input(Input<Rc<Message>, Reply>),
     /// The service table, or changes of it.
     Table(Change),
-    /// The operators take an app server out, or call it back; told whether that is new, or why not.
-    Ban { server: Id, out: bool, told: oneshot::Sender<Result<bool, String>> },
+    /// Is this app server known, listed now or once?
+    Knows { server: Id, told: oneshot::Sender<bool> },
+    /// The operators take an app server out, or call it back; told whether that is new.
+    Ban { server: Id, out: bool, told: oneshot::Sender<bool> },
 }
 
 /// A change of the service table.
@@ -74,11 +76,23 @@
         self.send(Mail::Table(change));
     }
 
+    /// True if the list has ever named this app server, or it is out.
+    pub async fn knows(&self, server: Id) -> bool {
+        let (told, answer) = oneshot::channel();
+        self.send(Mail::Knows { server, told });
+        answer.await.unwrap_or(false)
+    }
+
+    /// Heeds a ban, or its end, that another process has written down: it may come before the list.
+    pub fn heed_ban(&self, server: Id, out: bool) {
+        self.send(Mail::Input(Input::Ban { server, out }));
+    }
+
     /// Takes an app server out or calls it back: true if that is new. It holds when this returns.
-    pub async fn ban(&self, server: Id, out: bool) -> Result<bool, String> {
+    pub async fn ban(&self, server: Id, out: bool) -> bool {
         let (told, answer) = oneshot::channel();
         self.send(Mail::Ban { server, out, told });
-        answer.await.unwrap_or_else(|_| Err("the decisions have ended".into()))
+        answer.await.unwrap_or(false)
     }
 }
 
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -10,7 +10,9 @@
 mod decision;
 mod door;
 mod duty;
+mod handover;
 mod http;
+mod inherit;
 mod mail;
 mod phase;
 mod routed_task;
@@ -29,14 +31,19 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
 use tracing::{Level, debug, error, info, warn};
 
 use crate::clock::Clock;
 use crate::config::{Config, Occasion};
-use crate::decision::Decision;
+use crate::decision::{Decision, Known};
+use crate::handover::Handover;
 use crate::phase::Phase;
 use crate::service_table::ServiceTable;
 
+/// A process that follows another waits this long for discovery before it serves by what the other knew.
+const HEAR: Duration = Duration::from_millis(1000);
+
 fn main() -> ExitCode {
     // `GRADEPADDLE_LOG=debug` adds a line for each attempt, connect and answer, for counts over a fleet.
     let level = variable("GRADEPADDLE_LOG").map(|level| level.parse::<Level>());
@@ -98,13 +105,36 @@
     }
 }
 
+/// The folder shared with other processes of this balancer, where the platform gives one and it is of use.
+fn handover(config: &Config, has_door: bool) -> Option<Rc<Handover>> {
+    let within = std::env::var_os("TMPDIR").filter(|_| has_door || config.inherited.is_some())?;
+    let sockets = config.inherited.map(|_| config.sockets);
+    match Handover::enter(within.as_ref(), &config.name, sockets) {
+        Ok(handover) => Some(handover),
+        Err(fault) => {
+            // What would be left there is lost with the process, but it serves.
+            warn!("handover: {fault}");
+            None
+        }
+    }
+}
+
 /// Serves until SIGTERM, then until all is answered.
 async fn serve(mut config: Config) -> Result<(), String> {
     // Caught from the start on: either of them would end the process.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = listener.map_err(|e| format!("field listen: {}: {e}", config.listen))?;
+    let listener = match config.inherited {
+        Some(fd) => {
+            let listener = inherit::listener(fd, config.listen)
+                .and_then(|listener| TcpListener::from_std(listener).map_err(|e| e.to_string()));
+            listener.map_err(|e| format!("RELAY_INHERITED_FD: descriptor {fd}: {e}"))?
+        }
+        None => {
+            let listener = TcpListener::bind(config.listen).await;
+            listener.map_err(|e| format!("field listen: {}: {e}", config.listen))?
+        }
+    };
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     let door = match config.admin_addr {
         Some(at) => Some(TcpListener::bind(at).await.map_err(|e| format!("field admin_addr: {at}: {e}"))?),
@@ -112,8 +142,14 @@
     };
     let (clock, pool) = (Clock::start(), buffers::Pool::default());
     let budget = sockets::Budget::new(config.sockets, door.as_ref().map_or(0, |_| door::CALLERS + 1));
+    let handover = handover(&config, door.is_some());
+    let older = handover.as_ref().is_some_and(|handover| {
+        handover.share(&budget, false);
+        handover.others().older
+    });
     let balancer = Balancer::new(config.deployment.settings.clone(), config.seed);
     let balancer = balancer.map_err(|e| format!("field {e}"))?;
+    let (table_known, mut known) = watch::channel(Known::default());
     let (ready, is_ready) = watch::channel(false);
     let phase = Rc::new(Phase::new(clock));
     let (decision, mails) = mail::Mailbox::new();
@@ -128,10 +164,21 @@
     });
     let limits = Limits { grace: config.deployment.drain_grace, ..Limits::default() };
     let dispatch = Dispatch::new(balancer, &config.deployment.settings, &config.name, limits);
-    let deciding = Decision::new(dispatch, decision.clone(), table.clone(), routing.clone(), ready);
+    let deciding = Decision::new(dispatch, decision.clone(), table.clone(), routing.clone(), table_known);
     let mut deciding = spawn_local(deciding.run(mails));
-    let listing = ServiceTable::new(config.discovery, config.deployment.clone(), decision.clone(), routing);
-    let mut listing = spawn_local(listing.run(std::mem::take(&mut config.known), asks));
+    let (at, deployment) = (config.discovery, config.deployment.clone());
+    let listing = ServiceTable::new(at, deployment, decision.clone(), routing, handover.clone());
+    let left = handover.as_ref().and_then(|handover| handover.last_table());
+    let list = std::mem::take(&mut config.known).or_left(at, left, older);
+    if let Some(handover) = &handover {
+        // Before the table: nothing goes to one that is out.
+        for (server, out) in handover.bans() {
+            info!(%server, out, "handover: ban from before the start");
+            decision.heed_ban(server, out);
+        }
+        spawn_local(handover.clone().run(decision.clone(), budget.clone(), phase.clone()));
+    }
+    let mut listing = spawn_local(listing.run(list, asks));
     let (alive, mut ended) = mpsc::channel(1);
     let deployment = config.deployment.clone();
     let (calls, watched) = (decision.clone(), is_ready.clone());
@@ -141,25 +188,52 @@
         budget,
         deployment,
         decision,
-        ready: is_ready,
+        ready: is_ready.clone(),
         phase: phase.watch(),
     };
-    let mut accepting = spawn_local(terminal::accept(listener, Rc::new(terminals), alive));
+    // An inherited socket may be served by another process: what is taken off it must be served here.
+    let when = config.inherited.map(|_| is_ready.clone());
+    let mut accepting = spawn_local(terminal::accept(listener, when, Rc::new(terminals), alive));
     info!(name = config.name, listen = %address, discovery = %config.discovery, "started");
     if let Some(door) = door {
         info!(admin_addr = %door.local_addr().map_err(|e| e.to_string())?, "operators' door open");
-        let context = door::Context { decision: calls, ready: watched, phase: phase.clone() };
+        let (phase, handover) = (phase.clone(), handover.clone());
+        let context = door::Context { decision: calls, ready: watched, phase, handover };
         spawn_local(door::run(door, Rc::new(context)));
     }
     debug!(settings = ?config.deployment, sockets = config.sockets, "told");
     spawn_local(reload(hangup, config, table));
 
+    let entered = handover.clone();
+    spawn_local(async move {
+        // The decisions last as long as the process.
+        let _ = known.wait_for(|known| known.named > 0).await;
+        if older {
+            // It serves in any case: discovery may be down, and the other may be stuck.
+            let _ = timeout(HEAR, async {
+                let _ = known.wait_for(|known| known.told).await;
+                if let Some(handover) = &entered {
+                    handover.room().await;
+                }
+            })
+            .await;
+        }
+        info!(app_servers = known.borrow().named, older, "ready");
+        ready.send_replace(true);
+        if let Some(handover) = entered {
+            handover.ready();
+        }
+    });
     let turning = phase.clone();
     spawn_local(async move { turning.run().await });
     let leaving = async {
         terminate.recv().await;
-        info!("SIGTERM: no longer ready, still answering");
-        phase.tell(|duty, now| duty.leave(now));
+        let heir = handover.as_ref().is_some_and(|handover| handover.others().heir);
+        match heir {
+            true => info!("SIGTERM: an heir serves, nothing more is accepted"),
+            false => info!("SIGTERM: no longer ready, still answering"),
+        }
+        phase.tell(|duty, now| duty.leave(now, heir));
         // The phase lasts as long as this.
         let _ = phase.watch().wait_for(|stance| !stance.accepts).await;
         info!("closing");
--- a/daemon/src/service_table.rs
+++ b/daemon/src/service_table.rs
@@ -1,6 +1,7 @@
 //! The service table: discovery's list, read by a watch and handed on. When to watch anew, and what a list
 //! means for an app server, is not decided here.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,11 +9,13 @@
 use gradepaddle::settings::{Deployment, micros, place};
 use gradepaddle::{ListKind, Server, State};
 use serde::Deserialize;
+use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
+use crate::handover::{Handover, Table};
 use crate::http::{Chunks, Connection, Framing, line};
 use crate::mail::{self, Change};
 use crate::routed_task::Context;
@@ -44,7 +47,7 @@
     #[serde(default)]
     whole: bool,
     #[serde(default)]
-    hosts: Vec<serde_json::Value>,
+    hosts: Vec<Value>,
 }
 
 #[derive(Deserialize)]
@@ -75,17 +78,34 @@
     decision: mail::Mailbox,
     context: Rc<Context>,
     seq: u64,
+    /// The entries as they were told, by id, where they are left for a process that may follow.
+    left: Option<(Rc<Handover>, BTreeMap<String, Value>)>,
+}
+
+impl Listing {
+    /// The newer of this list, which discovery at this address told once, and what the last process left. One
+    /// that just was in service knows best; its version counts only where the same discovery told it.
+    pub fn or_left(self, discovery: SocketAddr, left: Option<Table>, just_now: bool) -> Listing {
+        let Some(left) = left else { return self };
+        let same = left.discovery == discovery.to_string();
+        if just_now || same && left.seq >= self.seq {
+            return Listing { seq: if same { left.seq } else { 0 }, whole: true, hosts: left.hosts };
+        }
+        self
+    }
 }
 
 impl ServiceTable {
-    /// A table that holds nothing yet.
+    /// A table that holds nothing yet; what it comes to hold is left for a process that may follow.
     pub fn new(
         discovery: SocketAddr,
         deployment: Deployment,
         decision: mail::Mailbox,
         context: Rc<Context>,
+        handover: Option<Rc<Handover>>,
     ) -> Self {
-        ServiceTable { discovery, deployment, decision, context, seq: 0 }
+        let left = handover.map(|handover| (handover, BTreeMap::new()));
+        ServiceTable { discovery, deployment, decision, context, seq: 0, left }
     }
 
     /// Starts from the last list and watches whenever asked to.
@@ -186,7 +206,35 @@
         self.apply(listing, kind);
     }
 
+    /// Keeps the entries as they were told, where they are to be left.
+    fn note(&mut self, listing: &Listing, kind: ListKind) {
+        let Some((_, entries)) = &mut self.left else { return };
+        if kind != ListKind::Delta {
+            entries.clear();
+        }
+        for host in &listing.hosts {
+            let Some(id) = host.get("host").and_then(Value::as_str) else { continue };
+            match host.get("health").and_then(Value::as_str) {
+                Some("removed") => drop(entries.remove(id)),
+                _ => drop(entries.insert(id.to_owned(), host.clone())),
+            }
+        }
+    }
+
+    /// Leaves the table as it is now known.
+    fn leave(&self, seq: u64) {
+        if let Some((handover, entries)) = &self.left {
+            handover.leave_table(self.discovery, seq, entries.values().cloned().collect());
+        }
+    }
+
     fn apply(&mut self, listing: Listing, kind: ListKind) {
+        self.note(&listing, kind);
+        // Only what discovery told: one that starts on an old list must not leave that over a newer one.
+        let changes = kind == ListKind::Full || !listing.hosts.is_empty() || listing.seq != self.seq;
+        if kind != ListKind::Cached && changes {
+            self.leave(listing.seq);
+        }
         self.seq = listing.seq;
         let mut entries = Vec::with_capacity(listing.hosts.len());
         for host in listing.hosts {
--- a/daemon/src/sockets.rs
+++ b/daemon/src/sockets.rs
@@ -46,10 +46,12 @@
 struct Inner {
     /// The most of each side. An open request has one attempt out as a rule, so those parts are equal, and
     /// clients have the greater part: their connections stay between requests.
-    most: [usize; 3],
+    most: Cell<[usize; 3]>,
     used: [Cell<usize>; 3],
     /// From so many clients' connections on they are a crowd.
-    crowd: usize,
+    crowd: Cell<usize>,
+    /// What this process has beside connections.
+    own: usize,
     freed: Notify,
     /// By kind, each in the order in which they began to wait.
     waiting: RefCell<[Row; 3]>,
@@ -73,22 +75,47 @@
 impl Budget {
     /// Shares out this many descriptors, but for those that are set aside.
     pub fn new(sockets: usize, aside: usize) -> Self {
-        let ours = sockets.saturating_sub(OWN + aside);
-        let part = (ours * 3 / 8).max(1);
-        Budget(Rc::new(Inner {
-            most: [ours.saturating_sub(part).max(1), part, part],
+        let budget = Budget(Rc::new(Inner {
+            most: Cell::default(),
             used: Default::default(),
-            crowd: ours / 4,
+            crowd: Cell::default(),
+            own: OWN + aside,
             freed: Notify::new(),
             waiting: RefCell::default(),
             serial: Cell::new(0),
-        }))
+        }));
+        budget.limit(sockets);
+        budget
+    }
+
+    /// Shares out this many from now on. Connections beyond that are closed as far as they only wait, and
+    /// none is opened until there is room.
+    pub fn limit(&self, sockets: usize) {
+        let ours = sockets.saturating_sub(self.0.own);
+        let part = (ours * 3 / 8).max(1);
+        self.0.most.set([ours.saturating_sub(part).max(1), part, part]);
+        self.0.crowd.set(ours / 4);
+        let beyond = self.used(Side::Terminal).saturating_sub(self.most(Side::Terminal));
+        let _ = (0..beyond).all(|_| self.relieve(Instant::now()));
+    }
+
+    /// How many descriptors the process holds at most, by what it has taken.
+    pub fn holds(&self) -> usize {
+        self.0.own + self.used(Side::Terminal) + self.used(Side::Server)
+    }
+
+    fn most(&self, side: Side) -> usize {
+        self.0.most.get()[side as usize]
+    }
+
+    fn used(&self, side: Side) -> usize {
+        self.0.used[side as usize].get()
     }
 
     /// One of this side, if it has one left.
     pub fn take(&self, side: Side) -> Option<Permit> {
         let used = &self.0.used[side as usize];
-        if used.get() >= self.0.most[side as usize] {
+        if used.get() >= self.most(side) {
             return None;
         }
         used.set(used.get() + 1);
@@ -97,12 +124,12 @@
 
     /// True if this side nears its end, so that idle connections should go.
     pub fn is_short(&self, side: Side) -> bool {
-        self.0.used[side as usize].get() * 8 >= self.0.most[side as usize] * 7
+        self.used(side) * 8 >= self.most(side) * 7
     }
 
     /// True if clients hold so many connections that they cannot all be kept between requests.
     pub fn is_crowded(&self) -> bool {
-        self.0.used[Side::Terminal as usize].get() >= self.0.crowd
+        self.used(Side::Terminal) >= self.0.crowd.get()
     }
 
     /// Waits until a descriptor has been given back.
--- a/daemon/src/terminal.rs
+++ b/daemon/src/terminal.rs
@@ -56,17 +56,32 @@
     pub phase: watch::Receiver<Stance>,
 }
 
-/// Accepts until the daemon closes, then empties the backlog. Each terminal holds a clone of `alive`.
-pub async fn accept(listener: TcpListener, context: Rc<Context>, alive: mpsc::Sender<()>) {
+/// Accepts, not before `when` it is said to, until the daemon closes; then empties the backlog, unless an heir
+/// does. Each terminal holds a clone of `alive`.
+pub async fn accept(
+    listener: TcpListener,
+    when: Option<watch::Receiver<bool>>,
+    context: Rc<Context>,
+    alive: mpsc::Sender<()>,
+) {
     let mut phase = context.phase.clone();
+    if let Some(mut when) = when {
+        tokio::select! {
+            _ = when.wait_for(|ready| *ready) => {}
+            _ = phase.wait_for(|stance| !stance.accepts) => {}
+        }
+    }
     loop {
         let accepted = tokio::select! {
             biased;
-            accepted = accept_one(&listener, &context) => accepted,
             _ = phase.wait_for(|stance| !stance.accepts) => break,
+            accepted = accept_one(&listener, &context) => accepted,
         };
         start(accepted, &context, &alive);
     }
+    if phase.borrow().to_heir {
+        return;
+    }
     // What the kernel has accepted counts as ours, so it is served before the listener goes.
     let Ok(listener) = listener.into_std() else { return };
     while let Ok((stream, _)) = listener.accept() {
@@ -197,7 +212,8 @@
     tokio::select! {
         biased;
         read = connection.fill() => matches!(read, Ok(1..)),
-        () = unkept => false,
+        // A request that has come just now is answered, not crossed by the close.
+        () = unkept => !connection.is_quiet(),
         () = waiting.unwanted() => false,
         () = tokio::time::sleep_until(until) => false,
     }
--- a/daemon/tests/network/rig.rs
+++ b/daemon/tests/network/rig.rs
@@ -2,26 +2,54 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::ops::{Deref, DerefMut};
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::mpsc::{Receiver, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::time::Duration;
 
+use command_fds::{CommandFdExt, FdMapping};
+
 /// Nothing here takes this long unless it never comes.
 const PATIENCE: Duration = Duration::from_secs(20);
 
 static SERIAL: AtomicU32 = AtomicU32::new(0);
 
-pub struct Rig {
+/// One process.
+pub struct Daemon {
     child: Child,
     log: Receiver<String>,
     pub address: SocketAddr,
     /// Where operators call; nowhere unless it was asked for.
     pub door: Option<SocketAddr>,
+    folder: PathBuf,
+}
+
+/// A process with all that is round it.
+pub struct Rig {
+    daemon: Daemon,
     pub servers: Vec<TcpListener>,
     pub discovery: TcpListener,
-    folder: PathBuf,
+    sockets: u32,
+    /// The clients' socket, where the platform holds it, and the folder that all processes share.
+    pub socket: Option<TcpListener>,
+    pub shared: PathBuf,
+}
+
+impl Deref for Rig {
+    type Target = Daemon;
+
+    fn deref(&self) -> &Daemon {
+        &self.daemon
+    }
+}
+
+impl DerefMut for Rig {
+    fn deref_mut(&mut self) -> &mut Daemon {
+        &mut self.daemon
+    }
 }
 
 /// One end of a connection: of a client, an app server or discovery.
@@ -37,9 +65,7 @@
 
 /// Runs the program with this configuration.
 pub fn program(config: &str) -> (Command, PathBuf) {
-    let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
-    let folder = std::env::temp_dir().join(format!("gradepaddle-{}-{serial}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder for the configuration");
+    let folder = folder();
     let path = folder.join("config.json");
     std::fs::write(&path, config).expect("the configuration");
     let mut command = Command::new(env!("CARGO_BIN_EXE_gradepaddle"));
@@ -53,61 +79,32 @@
     )
 }
 
-impl Rig {
-    /// The daemon with app servers a, b ...; ready, its watch not yet accepted.
-    pub fn start(count: u8) -> Rig {
-        Self::with(count, 1024)
-    }
-
-    pub fn with(count: u8, sockets: u32) -> Rig {
-        Self::told(count, sockets, &[])
-    }
-
-    /// With an operators' door.
-    pub fn with_door(count: u8) -> Rig {
-        Self::told(count, 1024, &[("RELAY_ADMIN_ADDR", "127.0.0.1:0")])
-    }
-
-    fn told(count: u8, sockets: u32, variables: &[(&str, &str)]) -> Rig {
-        let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
-        let servers: Vec<_> = (0..count).map(|_| bind()).collect();
-        let discovery = bind();
-        let hosts: Vec<_> =
-            servers.iter().zip('a'..).map(|(s, id)| host(&id.to_string(), local(s), "up")).collect();
-        let config = format!(
-            r#"{{"name":"n","listen":"127.0.0.1:0","discovery":"{}","seed":"1f","limits":{{"sockets":{sockets}}},
-            "known":{{"seq":7,"whole":true,"hosts":[{}]}},"settings":{SETTINGS}}}"#,
-            local(&discovery),
-            hosts.join(",")
-        );
-        let (mut command, folder) = program(&config);
-        // As on the platform, the variable says at the start what the file says.
-        command.env("RELAY_DISCOVERY", local(&discovery).to_string());
-        command.envs(variables.iter().copied());
+impl Daemon {
+    /// Starts it and waits until it listens.
+    pub fn start(mut command: Command, folder: PathBuf, has_door: bool) -> Daemon {
         let mut child = command.spawn().expect("the daemon");
         let output = BufReader::new(child.stdout.take().expect("its output"));
         let (lines, log) = channel();
         std::thread::spawn(move || output.lines().map_while(Result::ok).all(|l| lines.send(l).is_ok()));
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut rig = Rig { child, log, address, door: None, servers, discovery, folder };
+        let mut daemon = Daemon { child, log, address, door: None, folder };
         let named = |line: &str, field: &str| {
             let text = line.split(field).nth(1).and_then(|rest| rest.split(' ').next());
             text.and_then(|text| text.parse().ok()).expect("the address in the log")
         };
-        rig.address = named(&rig.logged("started"), "listen=");
-        if variables.iter().any(|(name, _)| *name == "RELAY_ADMIN_ADDR") {
-            rig.door = Some(named(&rig.logged("door open"), "admin_addr="));
+        daemon.address = named(&daemon.logged("started"), "listen=");
+        if has_door {
+            daemon.door = Some(named(&daemon.logged("door open"), "admin_addr="));
         }
-        if count > 0 {
-            rig.logged(" ready ");
-        }
-        rig
+        daemon
     }
 
     /// Waits for a log line with this text.
     pub fn logged(&self, text: &str) -> String {
+        let end = std::time::Instant::now() + PATIENCE;
         loop {
-            let line = self.log.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("{text:?} in the log"));
+            let left = end.saturating_duration_since(std::time::Instant::now());
+            let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("{text:?} in the log"));
             if line.contains(text) {
                 return line;
             }
@@ -129,6 +126,119 @@
         caller.rest()
     }
 
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces this text in the configuration and sends SIGHUP.
+    pub fn reload(&self, old: &str, new: &str) {
+        let path = self.folder.join("config.json");
+        let text = std::fs::read_to_string(&path).expect("the configuration");
+        assert!(text.contains(old));
+        std::fs::write(path, text.replace(old, new)).expect("the configuration");
+        self.signal("-HUP");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
+    }
+
+    pub fn exit(&mut self) -> Option<i32> {
+        // Its output ends with it.
+        let end = std::time::Instant::now() + PATIENCE;
+        loop {
+            let left = end.saturating_duration_since(std::time::Instant::now());
+            match self.log.recv_timeout(left) {
+                Ok(_) => {}
+                Err(RecvTimeoutError::Disconnected) => break,
+                Err(RecvTimeoutError::Timeout) => panic!("its end"),
+            }
+        }
+        self.child.wait().expect("its end").code()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may have ended already; the folder is temporary either way.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Rig {
+    /// The daemon with app servers a, b ...; ready, its watch not yet accepted.
+    pub fn start(count: u8) -> Rig {
+        Self::with(count, 1024)
+    }
+
+    pub fn with(count: u8, sockets: u32) -> Rig {
+        Self::new(count, sockets, false, false)
+    }
+
+    /// With an operators' door.
+    pub fn with_door(count: u8) -> Rig {
+        Self::new(count, 1024, true, false)
+    }
+
+    /// With a door, and the clients' socket held by the platform.
+    pub fn on_platform(count: u8, sockets: u32) -> Rig {
+        Self::new(count, sockets, true, true)
+    }
+
+    fn new(count: u8, sockets: u32, has_door: bool, inherits: bool) -> Rig {
+        let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
+        let servers: Vec<_> = (0..count).map(|_| bind()).collect();
+        let discovery = bind();
+        let socket = inherits.then(bind);
+        let shared = folder();
+        let (command, folder) =
+            Self::command(&servers, &discovery, sockets, has_door, socket.as_ref(), &shared);
+        let daemon = Daemon::start(command, folder, has_door);
+        if count > 0 {
+            daemon.logged(" ready ");
+        }
+        Rig { daemon, servers, discovery, sockets, socket, shared }
+    }
+
+    /// One more process of the same balancer; it listens, but may not be ready.
+    pub fn beside(&self) -> Daemon {
+        let Rig { servers, discovery, sockets, socket, shared, .. } = self;
+        let (command, folder) = Self::command(servers, discovery, *sockets, true, socket.as_ref(), shared);
+        Daemon::start(command, folder, true)
+    }
+
+    fn command(
+        servers: &[TcpListener],
+        discovery: &TcpListener,
+        sockets: u32,
+        has_door: bool,
+        socket: Option<&TcpListener>,
+        shared: &Path,
+    ) -> (Command, PathBuf) {
+        let hosts: Vec<_> =
+            servers.iter().zip('a'..).map(|(s, id)| host(&id.to_string(), local(s), "up")).collect();
+        let listen = socket.map_or("127.0.0.1:0".to_owned(), |socket| local(socket).to_string());
+        let config = format!(
+            r#"{{"name":"n","listen":"{listen}","discovery":"{}","seed":"1f","limits":{{"sockets":{sockets}}},
+            "known":{{"seq":7,"whole":true,"hosts":[{}]}},"settings":{SETTINGS}}}"#,
+            local(discovery),
+            hosts.join(",")
+        );
+        let (mut command, folder) = program(&config);
+        // As on the platform, the variable says at the start what the file says.
+        command.env("RELAY_DISCOVERY", local(discovery).to_string()).env("TMPDIR", shared);
+        if has_door {
+            command.env("RELAY_ADMIN_ADDR", "127.0.0.1:0");
+        }
+        if let Some(socket) = socket {
+            inherit(&mut command, socket.try_clone().expect("a socket").into());
+        }
+        (command, folder)
+    }
+
     /// The next connection at an app server, whichever it is of these.
     pub fn accept(&self, among: &[usize]) -> (usize, End) {
         let end = std::time::Instant::now() + PATIENCE;
@@ -151,6 +261,27 @@
         })
     }
 
+    /// Orders until this app server gets one, and serves that: a cold one is not sent all that comes.
+    pub fn served_at(&self, at: usize) {
+        let end = std::time::Instant::now() + PATIENCE;
+        for serial in 0.. {
+            assert!(std::time::Instant::now() < end, "a connection to {at}");
+            let mut client = self.client();
+            client.order(&format!("s{serial}"));
+            client.0.set_nonblocking(true).expect("a socket");
+            while client.0.peek(&mut [0]).is_err() && std::time::Instant::now() < end {
+                if let Some(mut server) = self.try_accept(at) {
+                    client.0.set_nonblocking(false).expect("a socket");
+                    server.message();
+                    server.ok("served");
+                    assert!(client.message().ends_with("served"));
+                    return;
+                }
+                std::thread::yield_now();
+            }
+        }
+    }
+
     /// Accepts the next watch, and answers its head and this list.
     pub fn watch(&self, list: &str) -> (String, End) {
         Self::watch_at(&self.discovery, list)
@@ -164,39 +295,28 @@
         end.chunk(list);
         (request, end)
     }
-
-    pub fn terminate(&self) {
-        self.signal("-TERM");
-    }
-
-    /// Replaces this text in the configuration and sends SIGHUP.
-    pub fn reload(&self, old: &str, new: &str) {
-        let path = self.folder.join("config.json");
-        let text = std::fs::read_to_string(&path).expect("the configuration");
-        assert!(text.contains(old));
-        std::fs::write(path, text.replace(old, new)).expect("the configuration");
-        self.signal("-HUP");
-    }
-
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
-    }
-
-    pub fn exit(&mut self) -> Option<i32> {
-        self.child.wait().expect("its end").code()
-    }
 }
 
 impl Drop for Rig {
     fn drop(&mut self) {
-        // It may have ended already; the folder is temporary either way.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
+        let _ = std::fs::remove_dir_all(&self.shared);
     }
 }
 
+/// Hands the descriptor down as number 4.
+pub fn inherit(command: &mut Command, fd: OwnedFd) {
+    let mapping = FdMapping { parent_fd: fd, child_fd: 4 };
+    command.fd_mappings(vec![mapping]).expect("one descriptor").env("RELAY_INHERITED_FD", "4");
+}
+
+/// A folder of the test's own.
+pub fn folder() -> PathBuf {
+    let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("gradepaddle-{}-{serial}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
 pub fn local(listener: &TcpListener) -> SocketAddr {
     listener.local_addr().expect("an address")
 }
