--- a/check/src/world.rs
+++ b/check/src/world.rs
@@ -355,6 +355,7 @@
                     key: None,
                     arrived: self.now,
                     time_left: ends - self.now,
+                    whole: true,
                     message: c,
                 };
                 self.tell(case, Input::Taken { ticket, transaction });
--- a/daemon/src/buffers.rs
+++ b/daemon/src/buffers.rs
@@ -1,6 +1,6 @@
 //! Buffers of one size from a pool, chained for messages longer than one of them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io::IoSlice;
 use std::rc::Rc;
@@ -10,18 +10,62 @@
 /// Free buffers kept for the next message; more are given back to the system.
 const KEPT: usize = 1024;
 
+/// Where room is short, messages flow in pieces of this many bytes, else of that many.
+const PIECES: [usize; 2] = [SIZE, 8 * SIZE];
+
+/// A body up to this length is read whole before anything is done with it, a longer one flows. Where room is
+/// short, that is one buffer.
+const WHOLE: usize = 16 * SIZE;
+
 /// The pool that all messages take their buffers from.
 #[derive(Clone, Default)]
-pub struct Pool(Rc<RefCell<Vec<Box<[u8]>>>>);
+pub struct Pool(Rc<Inner>);
+
+struct Inner {
+    free: RefCell<Vec<Box<[u8]>>>,
+    /// Buffers that are in use.
+    out: Cell<usize>,
+    /// From so many on room is short.
+    short: Cell<usize>,
+}
+
+impl Default for Inner {
+    fn default() -> Self {
+        Inner { free: RefCell::default(), out: Cell::default(), short: Cell::new(usize::MAX) }
+    }
+}
 
 impl Pool {
+    /// Gives messages this many bytes in all: beyond three quarters of that they flow in small pieces, so that
+    /// each connection adds a few buffers at most.
+    pub fn limit(&self, bytes: usize) {
+        self.0.short.set(bytes / 4 * 3 / SIZE);
+    }
+
+    /// True if what is kept should become no more.
+    pub fn is_short(&self) -> bool {
+        self.0.out.get() >= self.0.short.get()
+    }
+
+    /// How much of a message is moved at once.
+    pub fn piece(&self) -> usize {
+        PIECES[usize::from(!self.is_short())]
+    }
+
+    /// How much of a body is kept at most.
+    pub fn kept(&self) -> usize {
+        if self.is_short() { SIZE } else { WHOLE }
+    }
+
     fn take(&self) -> Box<[u8]> {
-        self.0.borrow_mut().pop().unwrap_or_else(|| vec![0; SIZE].into_boxed_slice())
+        self.0.out.set(self.0.out.get() + 1);
+        self.0.free.borrow_mut().pop().unwrap_or_else(|| vec![0; SIZE].into_boxed_slice())
     }
 
     fn give(&self, bytes: Box<[u8]>) {
-        let mut free = self.0.borrow_mut();
-        if free.len() < KEPT {
+        self.0.out.set(self.0.out.get() - 1);
+        let mut free = self.0.free.borrow_mut();
+        if free.len() < KEPT.min(self.0.short.get()) {
             free.push(bytes);
         }
     }
@@ -67,12 +111,17 @@
         &mut link.bytes[link.end..]
     }
 
-    /// Counts bytes just written to [`Chain::room`].
+    /// Counts bytes just written to [`Chain::room`]. Room that was not used is given back.
     pub fn filled(&mut self, count: usize) {
         if let Some(link) = self.links.back_mut() {
             link.end += count;
             self.len += count;
         }
+        if self.links.back().is_some_and(|link| link.start == link.end)
+            && let Some(link) = self.links.pop_back()
+        {
+            self.pool.give(link.bytes);
+        }
     }
 
     /// Appends a copy of these bytes.
@@ -86,6 +135,11 @@
         }
     }
 
+    /// Appends a copy of another chain.
+    pub fn push_all(&mut self, other: &Chain) {
+        other.slices().for_each(|slice| self.push(slice));
+    }
+
     /// Drops this many bytes at the front, and their buffers go back to the pool.
     pub fn consume(&mut self, mut count: usize) {
         self.len -= count.min(self.len);
@@ -176,6 +230,21 @@
         chain.consume(SIZE);
         assert_eq!(chain.copy(3), message[2 * SIZE + 5..2 * SIZE + 8]);
         drop((chain, front));
-        assert!(pool.0.borrow().len() >= 4, "the buffers are there to be used again");
+        assert!(pool.0.free.borrow().len() >= 4, "the buffers are there to be used again");
+        assert_eq!(pool.0.out.get(), 0);
+    }
+
+    /// Guards the memory limit: what is out is counted, and beyond its share messages flow in small pieces.
+    #[test]
+    fn beyond_its_share_the_pool_gives_small_pieces() {
+        let pool = Pool::default();
+        pool.limit(8 * SIZE);
+        let mut chain = pool.chain();
+        chain.push(&[0; 5 * SIZE]);
+        assert!(!pool.is_short() && pool.piece() > SIZE);
+        chain.push(&[0; SIZE]);
+        assert!(pool.is_short() && pool.piece() == SIZE);
+        chain.consume(SIZE);
+        assert!(!pool.is_short());
     }
 }
--- a/daemon/src/http/framing.rs
+++ b/daemon/src/http/framing.rs
@@ -1,6 +1,6 @@
 //! How long a body is, and the chunked coding.
 
-use super::Fault;
+use super::{Fault, MAX_BODY};
 use crate::buffers::Chain;
 
 /// The end of a body.
@@ -22,24 +22,23 @@
 pub struct Chunks {
     at: Part,
     trailers: usize,
-    most: usize,
 }
 
 enum Part {
     Size,
-    Data(usize),
+    Data(u64),
     DataEnd,
     Trailers,
 }
 
 impl Chunks {
-    /// Of a body of which never more than `most` bytes wait to be used.
-    pub fn new(most: usize) -> Self {
-        Chunks { at: Part::Size, trailers: 0, most }
+    /// Of a body of which nothing has been taken.
+    pub fn new() -> Self {
+        Chunks { at: Part::Size, trailers: 0 }
     }
 
-    /// Moves what has come of the body; true once it is whole.
-    pub fn take(&mut self, inbox: &mut Chain, body: &mut Chain) -> Result<bool, Fault> {
+    /// Moves what has come of the body, until `body` holds `most`; true once it is whole.
+    pub fn take(&mut self, inbox: &mut Chain, body: &mut Chain, most: usize) -> Result<bool, Fault> {
         loop {
             match self.at {
                 Part::Size => {
@@ -48,15 +47,16 @@
                     let valid = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
                     let text = std::str::from_utf8(digits).ok().filter(|_| valid);
                     let size = text.ok_or(Fault::Malformed("a chunk's size is no number"))?;
-                    let size = usize::from_str_radix(size, 16).map_err(|_| Fault::LongBody)?;
-                    if size > self.most.saturating_sub(body.len()) {
+                    let size = u64::from_str_radix(size, 16).map_err(|_| Fault::LongBody)?;
+                    if size > MAX_BODY {
                         return Err(Fault::LongBody);
                     }
                     self.at = if size == 0 { Part::Trailers } else { Part::Data(size) };
                 }
                 Part::Data(left) => {
-                    let here = left.min(inbox.len());
-                    inbox.shift(here, body);
+                    let room = most.saturating_sub(body.len()).min(inbox.len());
+                    let here = left.min(room as u64);
+                    inbox.shift(here as usize, body);
                     if here < left {
                         self.at = Part::Data(left - here);
                         return Ok(false);
--- a/daemon/src/http/head.rs
+++ b/daemon/src/http/head.rs
@@ -166,6 +166,11 @@
         !self.lists("connection", "close") && (!old || self.lists("connection", "keep-alive"))
     }
 
+    /// True if a request speaks HTTP/1.0, which knows no chunks.
+    pub fn is_old(&self) -> bool {
+        self.part(2) == "HTTP/1.0"
+    }
+
     /// How the body that follows is framed; `otherwise` if the head does not say.
     pub fn framing(&self, otherwise: Framing) -> Result<Framing, &'static str> {
         let mut lengths = self.all("content-length").flat_map(|value| value.split(|b| *b == b','));
--- a/daemon/src/http/mod.rs
+++ b/daemon/src/http/mod.rs
@@ -1,23 +1,29 @@
 //! HTTP/1.1 as far as a balancer needs it: heads, framing and whole messages on a connection.
 
+mod body;
 mod framing;
 mod head;
 
+use std::cell::RefCell;
 use std::io;
 use std::task::{Context, Poll};
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
 
 use crate::buffers::{Chain, Pool};
+use crate::pace::Pace;
 use crate::sockets::Permit;
+pub use body::Body;
 pub use framing::{Chunks, Framing, line};
 pub use head::Head;
 
 /// The longest head that is read.
 pub const MAX_HEAD: usize = 16 * 1024;
-/// The longest body that is read.
-pub const MAX_BODY: usize = 64 * 1024;
+/// The longest body that is passed on: bodies of 32 MB occur, and longer ones are nobody's.
+pub const MAX_BODY: u64 = 40 * 1024 * 1024;
 
 /// Why no whole message came.
 #[derive(Debug)]
@@ -32,19 +38,70 @@
     LongBody,
 }
 
-/// A request or an answer, read whole.
-pub struct Message {
+/// A request.
+pub struct Request {
     /// Its first line and headers.
     pub head: Head,
-    /// Its body without framing.
+    /// Its body without framing, or what is kept of one that flows.
     pub body: Chain,
+    /// What follows behind that.
+    pub rest: Option<Rest>,
+}
+
+/// The rest of a request's body, as its client sends it.
+pub struct Rest {
+    /// How long the whole body is, if its client said so.
+    pub length: Option<u64>,
+    /// Where the pieces come from. Whoever has used one of them is the only one to pass the request on.
+    pub pieces: RefCell<Option<mpsc::Receiver<Piece>>>,
+}
+
+/// A piece of a body.
+pub struct Piece {
+    /// The bytes, without framing.
+    pub bytes: Chain,
+    /// None follows.
+    pub last: bool,
+}
+
+impl Request {
+    /// How its body is framed on the way to an app server; none if it has none.
+    pub fn framing(&self) -> Option<Framing> {
+        match &self.rest {
+            Some(Rest { length: Some(length), .. }) => Some(Framing::Length(*length)),
+            Some(_) => Some(Framing::Chunked),
+            None if self.body.is_empty() && matches!(self.head.method(), "GET" | "HEAD") => None,
+            None => Some(Framing::Length(self.body.len() as u64)),
+        }
+    }
+}
+
+/// An app server's answer.
+pub struct Answer {
+    /// Its first line and headers.
+    pub head: Head,
+    /// Its body without framing, or the beginning of one that flows.
+    pub body: Chain,
+    /// What follows behind that.
+    pub flow: Option<Box<Flow>>,
+}
+
+/// The rest of an answer's body, with the connection that it comes on.
+pub struct Flow {
+    /// That connection.
+    pub connection: Connection,
+    /// What is still to come.
+    pub body: Body,
+    /// How it is framed there.
+    pub framing: Framing,
+    /// Where the connection goes once the body is whole, if it can be used again.
+    pub parking: Option<mpsc::WeakUnboundedSender<Connection>>,
 }
 
 /// A connection with what has been read from it and not used yet.
 pub struct Connection {
     stream: TcpStream,
     inbox: Chain,
-    pool: Pool,
     _permit: Permit,
 }
 
@@ -64,7 +121,7 @@
     pub fn new(stream: TcpStream, pool: &Pool, permit: Permit) -> Self {
         // Without this a small write may wait for an acknowledgement; if it fails, it only does that.
         let _ = stream.set_nodelay(true);
-        Connection { stream, inbox: pool.chain(), pool: pool.clone(), _permit: permit }
+        Connection { stream, inbox: pool.chain(), _permit: permit }
     }
 
     /// True if bytes wait that no message has used.
@@ -77,11 +134,23 @@
         self.inbox.len()
     }
 
-    /// Reads what there is; 0 bytes mean that the other side has ended. Safe to drop midway.
+    /// Reads what there is; 0 bytes mean that the other side has ended. Safe to drop midway. A connection that
+    /// waits holds no buffer.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        let count = self.stream.read(self.inbox.room()).await?;
-        self.inbox.filled(count);
-        Ok(count)
+        loop {
+            self.stream.readable().await?;
+            match self.try_fill() {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                read => return read,
+            }
+        }
+    }
+
+    /// Reads what is there at this moment, up to one buffer.
+    fn try_fill(&mut self) -> io::Result<usize> {
+        let read = self.stream.try_read(self.inbox.room());
+        self.inbox.filled(*read.as_ref().unwrap_or(&0));
+        read
     }
 
     async fn more(&mut self) -> Result<(), Fault> {
@@ -115,48 +184,44 @@
         }
     }
 
-    /// Reads the body that the head announced.
-    pub async fn read_body(&mut self, framing: Framing) -> Result<Chain, Fault> {
-        let mut body = self.pool.chain();
-        match framing {
-            Framing::Length(length) => {
-                if length > MAX_BODY as u64 {
-                    return Err(Fault::LongBody);
-                }
-                let length = length as usize;
-                while self.inbox.len() < length {
-                    self.more().await?;
-                }
-                self.inbox.shift(length, &mut body);
+    /// Moves what comes of a body, until `to` holds `most` or no more has come yet; true once it is whole. Waits
+    /// for some of it if need be. Safe to drop midway.
+    pub async fn read_piece(&mut self, body: &mut Body, to: &mut Chain, most: usize) -> Result<bool, Fault> {
+        let had = to.len();
+        loop {
+            if body.take(&mut self.inbox, to, most)? {
+                return Ok(true);
             }
-            Framing::Chunked => {
-                let mut chunks = Chunks::new(MAX_BODY);
-                while !chunks.take(&mut self.inbox, &mut body)? {
-                    self.more().await?;
-                }
+            if to.len() >= most {
+                return Ok(false);
+            }
+            let read = match to.len() > had {
+                true => match self.try_fill() {
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                    read => read,
+                },
+                false => self.fill().await,
+            };
+            match read {
+                // A reset does not end a body, it cuts it short.
+                Ok(0) => return body.end().map(|()| true),
+                Ok(_) => {}
+                Err(_) => return Err(Fault::Ended),
             }
-            Framing::UntilClose => loop {
-                let waiting = self.inbox.len();
-                self.inbox.shift(waiting, &mut body);
-                if body.len() > MAX_BODY {
-                    return Err(Fault::LongBody);
-                }
-                match self.fill().await {
-                    Ok(0) => break,
-                    Ok(_) => {}
-                    // A reset does not end a body, it cuts it short.
-                    Err(_) => return Err(Fault::Ended),
-                }
-            },
         }
-        Ok(body)
     }
 
-    /// Reads more of a chunked body that is used as it comes; true once it has ended.
-    pub async fn read_chunks(&mut self, chunks: &mut Chunks, body: &mut Chain) -> Result<bool, Fault> {
+    /// Reads more of a chunked body without end that is used as it comes, `most` bytes at once; true once it
+    /// has ended all the same.
+    pub async fn read_chunks(
+        &mut self,
+        chunks: &mut Chunks,
+        body: &mut Chain,
+        most: usize,
+    ) -> Result<bool, Fault> {
         let had = body.len();
         loop {
-            if chunks.take(&mut self.inbox, body)? {
+            if chunks.take(&mut self.inbox, body, most)? {
                 return Ok(true);
             }
             if body.len() > had {
@@ -166,26 +231,77 @@
         }
     }
 
+    /// The next head, if it has come: while one side still sends, the other may speak already.
+    pub fn try_head(&mut self) -> Result<Option<Head>, Fault> {
+        loop {
+            if let Some(end) = head::end(&self.inbox, 0) {
+                if end > MAX_HEAD {
+                    return Err(Fault::LongHead);
+                }
+                let text = self.inbox.copy(end);
+                self.inbox.consume(end);
+                return Head::parse(text).map(Some).map_err(Fault::Malformed);
+            }
+            if self.inbox.len() > MAX_HEAD {
+                return Err(Fault::LongHead);
+            }
+            match self.try_fill() {
+                Ok(0) => return Err(Fault::Ended),
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(_) => return Err(Fault::Ended),
+            }
+        }
+    }
+
+    /// Ready once there is something to read, or the other side has ended.
+    pub async fn readable(&self) {
+        // A socket that cannot even be asked shows that at the next read.
+        let _ = self.stream.readable().await;
+    }
+
+    /// Lets the other side see a break, not an end, once this is dropped.
+    pub fn break_off(&self) {
+        // If it fails, only an answer without length looks whole.
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(std::time::Duration::ZERO));
+    }
+
     /// Writes the chains one after the other, whole.
     pub async fn write(&mut self, chains: &[&Chain]) -> io::Result<()> {
+        let mut pace = Pace::of_reader();
         let total: usize = chains.iter().map(|chain| chain.len()).sum();
         let mut written = 0;
         while written < total {
-            let mut skip = written;
-            let mut slices = Vec::new();
-            for chain in chains {
-                slices.extend(chain.io_slices(skip));
-                skip = skip.saturating_sub(chain.len());
-            }
-            let count = self.stream.write_vectored(&slices).await?;
-            if count == 0 {
-                return Err(io::ErrorKind::WriteZero.into());
-            }
-            written += count;
+            written += self.write_some(chains, written, &mut pace).await?;
         }
         Ok(())
     }
 
+    /// Writes some of what stands behind the first `written` bytes; an error if the other side takes none of it
+    /// for longer than its pace allows. Safe to drop midway.
+    pub async fn write_some(&self, chains: &[&Chain], written: usize, pace: &mut Pace) -> io::Result<usize> {
+        let mut skip = written;
+        let mut slices = Vec::new();
+        for chain in chains {
+            slices.extend(chain.io_slices(skip));
+            skip = skip.saturating_sub(chain.len());
+        }
+        loop {
+            match self.stream.try_write_vectored(&slices) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(count) => {
+                    pace.waited(std::time::Duration::ZERO, count);
+                    return Ok(count);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+            let since = Instant::now();
+            timeout(pace.left(), self.stream.writable()).await.map_err(|_| io::ErrorKind::TimedOut)??;
+            pace.waited(since.elapsed(), 0);
+        }
+    }
+
     /// True if the other side has neither ended nor said anything out of turn. Asks the kernel itself:
     /// what tokio remembers of the socket is from the last time that the event queue was read, and a
     /// request written behind an end that came since would count as one that may have run.
@@ -210,7 +326,8 @@
     /// Ends our side after a last answer and waits a moment for the other: closing with bytes unread
     /// would reset the connection, and the answer might be lost with it.
     pub async fn linger(mut self) {
-        const MOST: usize = 256 * 1024;
+        // A client that is amid the longest body may read its answer only behind that.
+        const MOST: u64 = MAX_BODY;
         if self.stream.shutdown().await.is_err() {
             return;
         }
@@ -221,7 +338,7 @@
                 self.inbox.consume(waiting);
                 match self.fill().await {
                     Ok(0) | Err(_) => break,
-                    Ok(count) => read += count,
+                    Ok(count) => read += count as u64,
                 }
             }
         };
@@ -229,6 +346,29 @@
     }
 }
 
+/// What stands before and behind a piece of a body in chunks.
+pub fn chunk(pool: &Pool, length: usize, last: bool) -> (Chain, Chain) {
+    let (mut before, mut after) = (pool.chain(), pool.chain());
+    // A chunk of no length would end the body.
+    if length > 0 {
+        before.push(format!("{length:x}\r\n").as_bytes());
+        after.push(b"\r\n");
+    }
+    if last {
+        after.push(b"0\r\n\r\n");
+    }
+    (before, after)
+}
+
+/// Appends the field that says how a body is framed, if one has to.
+pub fn push_framing(to: &mut Chain, framing: Framing) {
+    match framing {
+        Framing::Length(length) => to.push(format!("Content-Length: {length}\r\n").as_bytes()),
+        Framing::Chunked => to.push(b"Transfer-Encoding: chunked\r\n"),
+        Framing::UntilClose => {}
+    }
+}
+
 /// Appends the fields that are meant for the far end, but for those named.
 pub fn push_headers(to: &mut Chain, head: &Head, but: &[&str]) {
     for (name, value) in head.end_to_end() {
@@ -259,34 +399,6 @@
         TestRunner::new(fixed())
     }
 
-    /// Guards against a body that depends on how the network cut it: chunks come back whole, and what
-    /// follows them stays for the next message.
-    #[test]
-    fn chunks_are_read_whole_however_they_arrive() {
-        let parts = prop::collection::vec(prop::collection::vec(any::<u8>(), 1..6000), 0..6);
-        let check = |(parts, cut): (Vec<Vec<u8>>, usize)| {
-            let mut text = Vec::new();
-            for part in &parts {
-                text.extend(format!("{:X};a=b\r\n", part.len()).bytes());
-                text.extend(part);
-                text.extend(b"\r\n");
-            }
-            text.extend(b"0\r\nA: b\r\n\r\nnext");
-            let pool = Pool::default();
-            let (mut inbox, mut body) = (pool.chain(), pool.chain());
-            let (mut chunks, mut done) = (Chunks::new(MAX_BODY), false);
-            for piece in text.chunks(cut) {
-                inbox.push(piece);
-                done = done || chunks.take(&mut inbox, &mut body).expect("well formed");
-            }
-            prop_assert!(done);
-            prop_assert_eq!(body.copy(body.len()), parts.concat());
-            prop_assert_eq!(inbox.copy(inbox.len()), b"next");
-            Ok(())
-        };
-        runner().run(&(parts, 1..9000usize), check).expect("all cases");
-    }
-
     /// Guards against a panic on any input, and against a head whose end depends on the cut.
     #[test]
     fn any_head_is_parsed_or_turned_down() {
--- a/daemon/src/mail.rs
+++ b/daemon/src/mail.rs
@@ -71,6 +71,11 @@
         self.send(Mail::Input(Input::Ended { ticket, attempt, extent, cause, reply }));
     }
 
+    /// Tells that an attempt has used up what cannot be had again.
+    pub fn spent(&self, ticket: Ticket, attempt: u32) {
+        self.send(Mail::Input(Input::Spent { ticket, attempt }));
+    }
+
     /// Tells what the service table says.
     pub fn table(&self, change: Change) {
         self.send(Mail::Table(change));
@@ -105,6 +110,11 @@
 }
 
 impl Pending {
+    /// Tells that the last byte has come.
+    pub fn uploaded(&self) {
+        self.decision.send(Mail::Input(Input::Uploaded { ticket: self.ticket }));
+    }
+
     /// The final answer. Safe to drop midway and call again.
     pub async fn answer(&mut self) -> FinalAnswer {
         let answer = (&mut self.answered).await;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -14,6 +14,7 @@
 mod http;
 mod inherit;
 mod mail;
+mod pace;
 mod phase;
 mod routed_task;
 mod service_table;
@@ -141,6 +142,7 @@
         None => None,
     };
     let (clock, pool) = (Clock::start(), buffers::Pool::default());
+    pool.limit(config.memory_mb * 1024 * 1024 / 2);
     let budget = sockets::Budget::new(config.sockets, door.as_ref().map_or(0, |_| door::CALLERS + 1));
     let handover = handover(&config, door.is_some());
     let older = handover.as_ref().is_some_and(|handover| {
--- /dev/null
+++ b/daemon/src/pace.rs
@@ -0,0 +1,62 @@
+//! How slow the other side may be: waiting for it spends an allowance, and what it does earns it back. No clock.
+
+use std::time::Duration;
+
+/// An allowance of time.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    left: Duration,
+    most: Duration,
+    /// Each byte earns so much.
+    earns: Duration,
+}
+
+impl Pace {
+    /// Of a sender. Its request may come in pieces over 2 s, and 64 kB a second is fast enough.
+    pub fn of_sender() -> Self {
+        Pace::new(Duration::from_millis(2400), 48_000)
+    }
+
+    /// Of a reader, or of an app server amid its answer: slow is no fault, only standing still is.
+    pub fn of_reader() -> Self {
+        Pace::new(Duration::from_secs(10), 4_000)
+    }
+
+    fn new(most: Duration, bytes_a_second: u32) -> Self {
+        Pace { left: most, most, earns: Duration::from_secs(1) / bytes_a_second }
+    }
+
+    /// How long may be waited now.
+    pub fn left(&self) -> Duration {
+        self.left
+    }
+
+    /// So long was waited, and so many bytes came of it.
+    pub fn waited(&mut self, time: Duration, bytes: usize) {
+        let earned = self.earns.saturating_mul(bytes.try_into().unwrap_or(u32::MAX));
+        self.left = (self.left.saturating_sub(time) + earned).min(self.most);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards honest senders, however slow by the platform's word, against being cut off, and descriptors against
+    /// those that stand still or drip.
+    #[test]
+    fn the_promised_pace_lives_and_less_does_not() {
+        let lives = |bytes: usize, every_ms: u64| {
+            let mut pace = Pace::of_sender();
+            (0..10_000).all(|_| {
+                let wait = Duration::from_millis(every_ms);
+                let in_time = wait < pace.left();
+                pace.waited(wait, bytes);
+                in_time
+            })
+        };
+        assert!(lives(64, 1) && lives(6_400, 100) && lives(64_000, 1_000));
+        assert!(!lives(20, 1) && !lives(1, 100) && !lives(1_000_000, 2_700));
+        assert!(Pace::of_sender().left() > Duration::from_millis(2_300), "a whole request may take 2 s");
+    }
+}
--- a/daemon/src/routed_task.rs
+++ b/daemon/src/routed_task.rs
@@ -1,21 +1,24 @@
 //! One attempt at one app server. It ends once, and tells how far it was written and what ended it: before
 //! the request's last byte is written it cannot have run, afterwards it may.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use gradepaddle::Micros;
 use gradepaddle_dispatch::{Cause, Extent, Ticket};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep_until, timeout};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tracing::debug;
 
 use crate::buffers::{Chain, Pool};
 use crate::clock::Clock;
-use crate::http::{self, Connection, Framing};
+use crate::http::{self, Body, Connection, Framing, Head, Piece, Rest};
 use crate::mail;
+use crate::pace::Pace;
 use crate::sockets::{Budget, Side};
 use crate::transaction::{Message, Reply};
 
@@ -72,6 +75,13 @@
         Report { decision, ticket: Some(ticket), attempt, unbegun: true }
     }
 
+    /// Tells that what is passed on cannot be had again.
+    fn spent(&self) {
+        if let Some(ticket) = self.ticket {
+            self.decision.spent(ticket, self.attempt);
+        }
+    }
+
     /// Tells the end.
     fn tell(mut self, extent: Extent, cause: Cause, reply: Option<Reply>) {
         self.send(extent, cause, reply);
@@ -96,6 +106,14 @@
     }
 }
 
+/// How far an attempt has come, while it goes on.
+#[derive(Default)]
+struct Progress {
+    extent: Cell<Extent>,
+    /// Told when its last byte is written.
+    whole: Notify,
+}
+
 /// Makes the attempt and tells its end. Ending early closes the connection.
 pub async fn run(
     assignment: Assignment,
@@ -106,19 +124,28 @@
 ) {
     let Assignment { message, until, withdrawn, mut report } = assignment;
     report.unbegun = false;
-    let mut extent = Extent::Nothing;
-    let attempt = attempt(&message, until, reused, standing, &context, &mut extent);
+    let Message::Http(request) = &*message;
+    let progress = Progress::default();
+    let span = until.saturating_sub(context.clock.now());
+    let attempt = attempt(request, span, reused, standing, &parking, &report, &progress, &context);
+    let over = async {
+        // While its client still sends, an attempt has all the time that this takes.
+        if request.rest.is_some() {
+            progress.whole.notified().await;
+        }
+        sleep(Duration::from_micros(span)).await;
+    };
     let end = tokio::select! {
         biased;
         end = attempt => end,
         _ = withdrawn => End::of(Cause::Withdrawn),
-        () = sleep_until(context.clock.instant(until)) => End::of(Cause::OutOfTime),
+        () = over => End::of(Cause::OutOfTime),
     };
     if let (Some(connection), Some(parking)) = (end.connection, parking.upgrade()) {
         // If the actor has just ended, the connection closes here.
         let _ = parking.send(connection);
     }
-    report.tell(extent, end.cause, end.reply);
+    report.tell(progress.extent.get(), end.cause, end.reply);
 }
 
 /// How an attempt ended, with what is left of it.
@@ -134,15 +161,40 @@
     }
 }
 
+/// The pieces of a request that flows, lent to one attempt: given back unless one of them was used.
+struct Lent<'a> {
+    rest: &'a Rest,
+    pieces: Option<mpsc::Receiver<Piece>>,
+    used: bool,
+}
+
+impl Drop for Lent<'_> {
+    fn drop(&mut self) {
+        if !self.used {
+            self.rest.pieces.replace(self.pieces.take());
+        }
+    }
+}
+
+#[allow(clippy::too_many_arguments)]
 async fn attempt(
-    message: &Message,
-    until: Micros,
+    request: &http::Request,
+    span: Micros,
     reused: Option<Connection>,
     standing: watch::Receiver<Entry>,
+    parking: &Parking,
+    report: &Report,
+    progress: &Progress,
     context: &Context,
-    extent: &mut Extent,
 ) -> End {
-    let Message::Http(request) = message;
+    let mut lent = match &request.rest {
+        None => None,
+        Some(rest) => match rest.pieces.take() {
+            Some(pieces) => Some(Lent { rest, pieces: Some(pieces), used: false }),
+            // Another attempt has used some of them: this one would send a part for the whole.
+            None => return End::of(Cause::NotTried),
+        },
+    };
     let mut connection = match reused {
         Some(connection) => connection,
         None => {
@@ -159,23 +211,135 @@
     if !standing.borrow().open {
         return End::of(Cause::Closed);
     }
-    let head = request_head(request, until.saturating_sub(context.clock.now()), &context.pool);
-    *extent = Extent::Part;
-    if connection.write(&[&head, &request.body]).await.is_err() {
-        return End::of(Cause::Broke);
+    progress.extent.set(Extent::Part);
+    let early = match send(request, span, &mut lent, &mut connection, report, context).await {
+        Ok(early) => early,
+        Err(cause) => return End::of(cause),
+    };
+    if early.is_none() {
+        progress.extent.set(Extent::Whole);
+        progress.whole.notify_one();
+    }
+    let usable = early.is_none();
+    match read_reply(request, early, &mut connection, context).await {
+        Err(cause) => End::of(cause),
+        Ok(Read { cause, head, body, rest }) => {
+            let usable = usable && head.keeps_alive();
+            // A refusal says that trying again is harmless, whoever words it, so an app server's is never
+            // passed on: here the request may have run.
+            let passes = cause != Cause::Unprocessed && !matches!(head.status(), Ok(429 | 503));
+            match rest {
+                None => {
+                    let connection = Some(connection).filter(|one| usable && !one.has_input());
+                    let reply = passes.then(|| Reply::Http(http::Answer { head, body, flow: None }));
+                    End { cause, reply, connection }
+                }
+                Some((rest, framing)) => {
+                    let usable = usable && framing != Framing::UntilClose;
+                    let parking = usable.then(|| parking.clone());
+                    let flow = Some(Box::new(http::Flow { connection, body: rest, framing, parking }));
+                    let reply = passes.then(|| Reply::Http(http::Answer { head, body, flow }));
+                    End { cause, reply, connection: None }
+                }
+            }
+        }
+    }
+}
+
+/// Writes the whole request. An app server that answers before that is heard at once: the head of its final
+/// answer, and nothing more is written.
+async fn send(
+    request: &http::Request,
+    span: Micros,
+    lent: &mut Option<Lent<'_>>,
+    connection: &mut Connection,
+    report: &Report,
+    context: &Context,
+) -> Result<Option<Head>, Cause> {
+    let framing = request.framing();
+    let mut interim = 0;
+    let mut head = request_head(request, framing, span, &context.pool);
+    let (before, after) = match framing {
+        Some(Framing::Chunked) => http::chunk(&context.pool, request.body.len(), false),
+        _ => (context.pool.chain(), context.pool.chain()),
+    };
+    head.push_all(&before);
+    let early = write(connection, &[&head, &request.body, &after], &mut interim).await?;
+    let Some(lent) = lent.as_mut().filter(|_| early.is_none()) else { return Ok(early) };
+    drop(head);
+    loop {
+        let pieces = lent.pieces.as_mut().ok_or(Cause::NotTried)?;
+        let piece = tokio::select! {
+            biased;
+            piece = pieces.recv() => piece,
+            () = connection.readable() => match early_head(connection, &mut interim)? {
+                None => continue,
+                early => return Ok(early),
+            },
+        };
+        // Without a last piece its client has left amid it.
+        let Some(Piece { bytes, last }) = piece else { return Err(Cause::Broke) };
+        if !std::mem::replace(&mut lent.used, true) {
+            report.spent();
+        }
+        let (before, after) = match framing {
+            Some(Framing::Chunked) => http::chunk(&context.pool, bytes.len(), last),
+            _ => (context.pool.chain(), context.pool.chain()),
+        };
+        let early = write(connection, &[&before, &bytes, &after], &mut interim).await?;
+        if early.is_some() || last {
+            return Ok(early);
+        }
     }
-    *extent = Extent::Whole;
-    read_reply(request, connection).await
 }
 
-fn request_head(request: &http::Message, left: Micros, pool: &Pool) -> Chain {
+/// Writes the chains whole, unless an answer comes before that.
+async fn write(
+    connection: &mut Connection,
+    chains: &[&Chain],
+    interim: &mut usize,
+) -> Result<Option<Head>, Cause> {
+    let total: usize = chains.iter().map(|chain| chain.len()).sum();
+    let (mut written, mut pace) = (0, Pace::of_reader());
+    while written < total {
+        tokio::select! {
+            biased;
+            count = connection.write_some(chains, written, &mut pace) => {
+                written += count.map_err(|_| Cause::Broke)?;
+            }
+            () = connection.readable() => {
+                let early = early_head(connection, interim)?;
+                if early.is_some() {
+                    return Ok(early);
+                }
+            }
+        }
+    }
+    Ok(None)
+}
+
+/// The head of a final answer that has come already.
+fn early_head(connection: &mut Connection, interim: &mut usize) -> Result<Option<Head>, Cause> {
+    while let Some(head) = connection.try_head().map_err(|fault| cause_of(&fault))? {
+        if !passed_over(&head, interim)? {
+            return Ok(Some(head));
+        }
+    }
+    Ok(None)
+}
+
+fn cause_of(fault: &http::Fault) -> Cause {
+    if matches!(fault, http::Fault::Ended) { Cause::Broke } else { Cause::Spoilt }
+}
+
+fn request_head(request: &http::Request, framing: Option<Framing>, left: Micros, pool: &Pool) -> Chain {
     let mut head = pool.chain();
     let parts = [request.head.method(), " ", request.head.target(), " HTTP/1.1\r\n"];
     parts.iter().for_each(|part| head.push(part.as_bytes()));
     http::push_headers(&mut head, &request.head, &["x-time-left"]);
     head.push(format!("X-Time-Left: {}.{:03}\r\n", left / 1_000_000, left / 1000 % 1000).as_bytes());
-    if !request.body.is_empty() || !matches!(request.head.method(), "GET" | "HEAD") {
-        head.push(format!("Content-Length: {}\r\n", request.body.len()).as_bytes());
+    if let Some(framing) = framing {
+        http::push_framing(&mut head, framing);
     }
     head.push(b"\r\n");
     head
@@ -184,35 +348,58 @@
 /// An answer is good behind at most this many 1xx answers.
 const MAX_INTERIM: usize = 32;
 
-/// Reads an answer whole. It was asked for, so whatever breaks here may have run.
-async fn read_reply(request: &http::Message, mut connection: Connection) -> End {
-    let mut interim = 0;
-    let (head, status) = loop {
-        let head = match connection.read_head().await {
-            Ok(head) => head,
-            Err(http::Fault::Ended) => return End::of(Cause::Broke),
-            Err(_) => return End::of(Cause::Spoilt),
+/// True for a 1xx answer, behind which the final one is still to come.
+fn passed_over(head: &Head, interim: &mut usize) -> Result<bool, Cause> {
+    match head.status() {
+        Ok(100..=199) if *interim < MAX_INTERIM => {
+            *interim += 1;
+            Ok(true)
+        }
+        Ok(100..=199) | Err(_) => Err(Cause::Spoilt),
+        Ok(_) => Ok(false),
+    }
+}
+
+/// An answer that is there, whole or as far as it was waited for.
+struct Read {
+    cause: Cause,
+    head: Head,
+    body: Chain,
+    /// What is still to come, and how that is framed.
+    rest: Option<(Body, Framing)>,
+}
+
+/// So long an answer without a length is waited for as a whole, in which it may still fail and be asked for
+/// again.
+const WHOLE_WITHIN: Duration = Duration::from_millis(50);
+
+/// Reads an answer: up to a bound as a whole, beyond it only its beginning. It was asked for, so whatever breaks
+/// here may have run.
+async fn read_reply(
+    request: &http::Request,
+    early: Option<Head>,
+    connection: &mut Connection,
+    context: &Context,
+) -> Result<Read, Cause> {
+    let (mut interim, mut early) = (0, early);
+    let head = loop {
+        let head = match early.take() {
+            Some(head) => head,
+            None => connection.read_head().await.map_err(|fault| cause_of(&fault))?,
         };
-        match head.status() {
-            Ok(100..=199) if interim < MAX_INTERIM => interim += 1,
-            Ok(100..=199) => return End::of(Cause::Spoilt),
-            Ok(status) => break (head, status),
-            Err(_) => return End::of(Cause::Spoilt),
+        if !passed_over(&head, &mut interim)? {
+            break head;
         }
     };
+    let status = head.status().map_err(|_| Cause::Spoilt)?;
     let bare = request.head.method() == "HEAD" || head.is_bare();
     let framing = if bare { Ok(Framing::Length(0)) } else { head.framing(Framing::UntilClose) };
-    let Ok(framing) = framing else { return End::of(Cause::Spoilt) };
+    let framing = framing.map_err(|_| Cause::Spoilt)?;
     // Without a length the close ends it, and then it must be announced: else what is missing is the length,
     // lost from a head that was spoilt, and whatever came by the time of some close would pass as whole.
     if framing == Framing::UntilClose && head.keeps_alive() {
-        return End::of(Cause::Spoilt);
+        return Err(Cause::Spoilt);
     }
-    let body = match connection.read_body(framing).await {
-        Ok(body) => body,
-        Err(http::Fault::Ended) => return End::of(Cause::Broke),
-        Err(_) => return End::of(Cause::Spoilt),
-    };
     let cause = match status {
         200 => Cause::Served,
         503 | 504 if head.get("x-unprocessed") == Some("1") => Cause::Unprocessed,
@@ -221,10 +408,32 @@
         400..=499 => Cause::Denied,
         _ => Cause::Failed,
     };
-    let usable = framing != Framing::UntilClose && head.keeps_alive() && !connection.has_input();
-    // A refusal says that trying again is harmless, whoever words it, so an app server's is never
-    // passed on: here the request may have run.
-    let passes = cause != Cause::Unprocessed && !matches!(status, 429 | 503);
-    let reply = passes.then(|| Reply::Http(http::Message { head, body }));
-    End { cause, reply, connection: usable.then_some(connection) }
+    let mut rest = Body::new(framing).map_err(|fault| cause_of(&fault))?;
+    let mut body = context.pool.chain();
+    let whole_by = match framing {
+        Framing::Length(length) if length > context.pool.kept() as u64 => Some(Instant::now()),
+        Framing::Length(_) => None,
+        _ => Some(Instant::now() + WHOLE_WITHIN),
+    };
+    let late = async {
+        match whole_by {
+            Some(at) => sleep_until(at).await,
+            None => std::future::pending().await,
+        }
+    };
+    let mut late = pin!(late);
+    loop {
+        let most = context.pool.kept();
+        tokio::select! {
+            biased;
+            whole = connection.read_piece(&mut rest, &mut body, most) => match whole {
+                Ok(true) => return Ok(Read { cause, head, body, rest: None }),
+                Ok(false) if body.len() >= most => {}
+                Ok(false) => continue,
+                Err(fault) => return Err(cause_of(&fault)),
+            },
+            () = &mut late => {}
+        }
+        return Ok(Read { cause, head, body, rest: Some((rest, framing)) });
+    }
 }
--- a/daemon/src/service_table.rs
+++ b/daemon/src/service_table.rs
@@ -172,9 +172,10 @@
         if head.framing(Framing::UntilClose) != Ok(Framing::Chunked) {
             return "the answer is not chunked".into();
         }
-        let (mut chunks, mut text) = (Chunks::new(MAX_LINE), self.context.pool.chain());
+        let (mut chunks, mut text) = (Chunks::new(), self.context.pool.chain());
         loop {
-            let ended = match timeout(SILENCE, connection.read_chunks(&mut chunks, &mut text)).await {
+            let ended = match timeout(SILENCE, connection.read_chunks(&mut chunks, &mut text, MAX_LINE)).await
+            {
                 Ok(Ok(ended)) => ended,
                 Ok(Err(fault)) => return fault.to_string(),
                 Err(_) => return format!("silent for {} s", SILENCE.as_secs()),
--- a/daemon/src/terminal.rs
+++ b/daemon/src/terminal.rs
@@ -1,6 +1,9 @@
 //! The clients' side: accepts connections, reads one transaction at a time, notices a client that
 //! closes, and writes the one final answer.
 
+mod intake;
+mod outgoing;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,32 +12,28 @@
 use gradepaddle::{Effect, Micros};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout};
 use tracing::warn;
 
-use crate::buffers::{Chain, Pool};
+use crate::buffers::Pool;
 use crate::clock::Clock;
 use crate::duty::Stance;
-use crate::http::{self, Connection, Fault, Framing};
+use crate::http::{self, Connection};
 use crate::mail;
 use crate::sockets::{Budget, Permit, Side, Wait};
 use crate::transaction::{FinalAnswer, Message, Reply, Transaction};
+use intake::Upload;
+use outgoing::Outgoing;
 
-/// The first request must have come whole this long after its client connected: until then nothing tells a
-/// client from a connection that only holds a descriptor.
-const FIRST_WITHIN: Duration = Duration::from_millis(2500);
-/// A later request must have come whole this long after its first byte.
-const READ_WITHIN: Duration = Duration::from_secs(10);
-/// An answer must have been taken after this.
-const WRITE_WITHIN: Duration = Duration::from_secs(10);
+/// The head of the first request must have come this long after its client connected: until then nothing tells
+/// a client from a connection that only holds a descriptor. That of a later one, after its first byte.
+const HEAD_WITHIN: Duration = Duration::from_millis(2700);
 /// A client that has asked, and sends nothing for this long, is closed.
 const IDLE: Duration = Duration::from_secs(10);
 /// A new connection may say something for this long, also where idle ones are closed.
 const SPEAK_WITHIN: Duration = Duration::from_millis(300);
 /// How soon one that waits may be old enough to make room for another.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
-/// A client may send this much of its next request while it waits.
-const AHEAD: usize = 8 * 1024;
 /// What clients beyond the descriptor budget are told.
 const DOOR_PAUSE: Micros = 500_000;
 
@@ -144,7 +143,7 @@
 async fn serve(mut connection: Connection, context: &Context) -> Option<Connection> {
     // Set until the first request has come.
     let came = Instant::now();
-    let mut first = Some(came + FIRST_WITHIN);
+    let mut first = Some(came + HEAD_WITHIN);
     loop {
         if !connection.has_input() {
             let now = Instant::now();
@@ -156,41 +155,35 @@
                 return None;
             }
         }
-        let until = first.take().unwrap_or_else(|| Instant::now() + READ_WITHIN);
+        let until = first.take().unwrap_or_else(|| Instant::now() + HEAD_WITHIN);
         let rest = context.budget.wait(Wait::Rest);
         let request = tokio::select! {
             biased;
-            request = timeout_at(until, read(&mut connection, context)) => request,
+            request = intake::read(&mut connection, &context.pool, until) => request,
             () = rest.unwanted() => return None,
         };
         drop(rest);
-        let (status, why) = match request {
-            Ok(Ok(request)) => {
+        let (reply, keep) = match request {
+            Ok((request, upload)) => {
                 let open = context.budget.take(Side::Open);
                 let keep = request.head.keeps_alive() && open.is_some();
-                let (mut head, body) = answer(&mut connection, context, request, open.is_some()).await?;
-                drop(open);
+                let (reply, whole) =
+                    answer(&mut connection, context, request, upload, open.is_some()).await?;
                 // Read after the answer is there: the daemon may be on its way out since.
-                let keep = keep && !context.phase.borrow().parts;
+                let keep = keep && whole && !context.phase.borrow().parts;
                 // In a crowd most clients ask once in a long while, and the next may find no place.
-                let keep = keep && !context.budget.is_crowded();
-                head.push(if keep { b"\r\n" as &[u8] } else { b"Connection: close\r\n\r\n" });
-                match timeout(WRITE_WITHIN, connection.write(&[&head, &body])).await {
-                    Ok(Ok(())) if keep => continue,
-                    Ok(Ok(())) => return Some(connection),
-                    _ => return None,
-                }
+                (reply, keep && !context.budget.is_crowded())
+            }
+            Err(unread) => {
+                let (status, why) = unread.told()?;
+                (Outgoing::plain(&context.pool, status, None, &why), false)
             }
-            Ok(Err(Fault::Ended)) => return None,
-            Ok(Err(fault @ Fault::LongHead)) => (431, fault.to_string()),
-            Ok(Err(fault @ Fault::LongBody)) => (413, fault.to_string()),
-            Ok(Err(fault)) => (400, fault.to_string()),
-            Err(_) => (408, "the request did not come whole in time".to_owned()),
         };
-        let (mut head, body) = plain(&context.pool, status, None, &why);
-        head.push(b"Connection: close\r\n\r\n");
-        let written = timeout(WRITE_WITHIN, connection.write(&[&head, &body])).await;
-        return matches!(written, Ok(Ok(()))).then_some(connection);
+        match reply.write(&mut connection, &context.pool, keep).await {
+            Ok(true) => {}
+            Ok(false) => return Some(connection),
+            Err(_) => return None,
+        }
     }
 }
 
@@ -219,82 +212,72 @@
     }
 }
 
-async fn read(connection: &mut Connection, context: &Context) -> Result<http::Message, Fault> {
-    let head = connection.read_head().await?;
-    head.check_request().map_err(Fault::Malformed)?;
-    let framing = head.framing(Framing::Length(0)).map_err(Fault::Malformed)?;
-    if matches!(framing, Framing::Length(length) if length > http::MAX_BODY as u64) {
-        return Err(Fault::LongBody);
-    }
-    if head.lists("expect", "100-continue") && !connection.has_input() {
-        let mut go_on = context.pool.chain();
-        go_on.push(b"HTTP/1.1 100 Continue\r\n\r\n");
-        connection.write(&[&go_on]).await.map_err(|_| Fault::Ended)?;
-    }
-    let body = connection.read_body(framing).await?;
-    Ok(http::Message { head, body })
-}
-
-/// The answer to a request, its head still open; none if the client has left.
+/// The answer to a request, and whether all of that has been read; none if the client has left.
 async fn answer(
     connection: &mut Connection,
     context: &Context,
-    request: http::Message,
+    request: http::Request,
+    mut upload: Option<Upload>,
     served: bool,
-) -> Option<(Chain, Chain)> {
+) -> Option<(Outgoing, bool)> {
     let pool = &context.pool;
+    let whole = upload.is_none();
+    let plain = |status, pause, text: &str| Some((Outgoing::plain(pool, status, pause, text), whole));
     match request.head.target().split('?').next() {
         Some("/health/ready") => {
             let ready = *context.ready.borrow() && context.phase.borrow().ready;
-            let (status, text) = if ready { (200, "ready") } else { (503, "not ready") };
-            return Some(plain(pool, status, None, text));
+            return if ready { plain(200, None, "ready") } else { plain(503, None, "not ready") };
         }
-        Some("/health/live") => return Some(plain(pool, 200, None, "alive")),
+        Some("/health/live") => return plain(200, None, "alive"),
         _ => {}
     }
     if context.phase.borrow().refuses {
-        return Some(plain(pool, 503, Some(DOOR_PAUSE), "drained"));
+        return plain(503, Some(DOOR_PAUSE), "drained");
     }
     let transaction = match transaction(request, context) {
         Ok(transaction) => transaction,
-        Err((status, why)) => return Some(plain(pool, status, None, why)),
+        Err((status, why)) => return plain(status, None, why),
     };
     if !served {
-        return Some(plain(pool, 503, Some(DOOR_PAUSE), "no connection to spare"));
+        return plain(503, Some(DOOR_PAUSE), "no connection to spare");
     }
     let message = transaction.message.clone();
     let mut pending = context.decision.ask(transaction);
     let answer = loop {
-        let listens = connection.waiting() < AHEAD;
+        // Dropped where it returns early, the pending answer tells that nobody waits for it.
         tokio::select! {
             biased;
             answer = pending.answer() => break answer,
-            read = connection.fill(), if listens => {
-                if !matches!(read, Ok(1..)) {
-                    // The client has left; dropping the pending answer tells it.
-                    return None;
+            more = intake::more(connection, &mut upload, pool) => match more {
+                Ok(true) => pending.uploaded(),
+                Ok(false) => {}
+                Err(unread) => {
+                    let (status, why) = unread.told()?;
+                    return Some((Outgoing::plain(pool, status, None, &why), false));
                 }
             }
         }
     };
-    Some(match answer {
+    let whole = upload.is_none();
+    let plain = |status, pause, text: &str| Some((Outgoing::plain(pool, status, pause, text), whole));
+    match answer {
         FinalAnswer::Served(Reply::Http(reply))
         | FinalAnswer::Failed { reply: Some(Reply::Http(reply)), .. } => {
             let Message::Http(request) = &*message;
-            passed_on(pool, request, reply)
+            Some((Outgoing::passed_on(pool, &request.head, reply), whole))
         }
-        FinalAnswer::Refused { pause } => plain(pool, 503, Some(pause), "short on capacity"),
-        FinalAnswer::Known => plain(pool, 409, None, "a request with this X-Correlation-Id is open"),
-        FinalAnswer::Failed { late: true, .. } => plain(pool, 504, None, "no answer in time"),
-        FinalAnswer::Failed { .. } => plain(pool, 500, None, "failed"),
-    })
+        FinalAnswer::Refused { pause } => plain(503, Some(pause), "short on capacity"),
+        FinalAnswer::Known => plain(409, None, "a request with this X-Correlation-Id is open"),
+        FinalAnswer::Failed { late: true, .. } => plain(504, None, "no answer in time"),
+        FinalAnswer::Failed { .. } => plain(500, None, "failed"),
+    }
 }
 
 /// What a request says, in terms that no longer depend on HTTP. What contradicts itself is turned down
 /// here: an app server would turn it down too, and seem to fail.
-fn transaction(request: http::Message, context: &Context) -> Result<Transaction, (u16, &'static str)> {
+fn transaction(request: http::Request, context: &Context) -> Result<Transaction, (u16, &'static str)> {
     let arrived = context.clock.now();
-    let (head, deployment) = (&request.head, &context.deployment);
+    let (head, deployment, whole) = (&request.head, &context.deployment, request.rest.is_none());
     let ids: Vec<_> = head.all("x-correlation-id").collect();
     let own = match ids[..] {
         [id] if !id.is_empty() => Arc::from(id),
@@ -308,7 +291,7 @@
     let class = class.ok_or((400, "unknown service class"))?;
     let safe = deployment.settings.classes[class].effect == Effect::Safe;
     match head.method() {
-        "GET" if safe && request.body.is_empty() => {}
+        "GET" if safe && request.body.is_empty() && whole => {}
         "GET" if safe => return Err((400, "a GET with a body")),
         "POST" if !safe => {}
         _ => return Err((405, "not this class's method")),
@@ -326,7 +309,8 @@
         }
     };
     let key = head.all("cookie").find_map(cookie);
-    Ok(Transaction { own, class, tenant, key, arrived, time_left, message: Rc::new(Message::Http(request)) })
+    let message = Rc::new(Message::Http(request));
+    Ok(Transaction { own, class, tenant, key, arrived, time_left, whole, message })
 }
 
 /// The cookie `user` of a cookie header.
@@ -335,43 +319,3 @@
     let mut pairs = text.split(';').filter_map(|pair| pair.trim().split_once('='));
     pairs.find(|(name, _)| *name == "user").map(|(_, value)| value.to_owned())
 }
-
-fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        405 => "Method Not Allowed",
-        408 => "Request Timeout",
-        409 => "Conflict",
-        413 => "Content Too Large",
-        431 => "Request Header Fields Too Large",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Internal Server Error",
-    }
-}
-
-/// An answer of the daemon's own, its head still open.
-fn plain(pool: &Pool, status: u16, pause: Option<Micros>, text: &str) -> (Chain, Chain) {
-    let (mut head, mut body) = (pool.chain(), pool.chain());
-    body.push(text.as_bytes());
-    body.push(b"\n");
-    let line = format!("HTTP/1.1 {status} {}\r\nContent-Type: text/plain\r\n", reason(status));
-    head.push(line.as_bytes());
-    if let Some(pause) = pause {
-        head.push(format!("Retry-After: {:.3}\r\n", pause as f64 / 1e6).as_bytes());
-    }
-    head.push(format!("Content-Length: {}\r\n", body.len()).as_bytes());
-    (head, body)
-}
-
-/// An app server's answer, its body unchanged, its head still open.
-fn passed_on(pool: &Pool, request: &http::Message, reply: http::Message) -> (Chain, Chain) {
-    let mut head = pool.chain();
-    head.push(format!("HTTP/1.1 {}\r\n", reply.head.status_line()).as_bytes());
-    http::push_headers(&mut head, &reply.head, &[]);
-    if request.head.method() != "HEAD" && !reply.head.is_bare() {
-        head.push(format!("Content-Length: {}\r\n", reply.body.len()).as_bytes());
-    }
-    (head, reply.body)
-}
--- /dev/null
+++ b/daemon/src/terminal/intake.rs
@@ -0,0 +1,129 @@
+//! Requests as they come in: the head, as much of the body as is kept, and the rest as it flows.
+
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::buffers::{Chain, Pool};
+use crate::http::{Body, Connection, Fault, Framing, Piece, Request, Rest};
+use crate::pace::Pace;
+
+/// A client may send this much of its next request while it waits.
+const AHEAD: usize = 8 * 1024;
+
+/// Why no request came.
+pub enum Unread {
+    /// Its client has gone.
+    Gone,
+    /// It is at fault, or did not come in time: what its client is told.
+    Told(u16, String),
+}
+
+impl Unread {
+    /// Status and reason, if there is somebody to be told.
+    pub fn told(self) -> Option<(u16, String)> {
+        match self {
+            Unread::Gone => None,
+            Unread::Told(status, why) => Some((status, why)),
+        }
+    }
+
+    fn late() -> Self {
+        Unread::Told(408, "the request did not come in time".to_owned())
+    }
+}
+
+impl From<Fault> for Unread {
+    fn from(fault: Fault) -> Self {
+        match fault {
+            Fault::Ended => Unread::Gone,
+            Fault::LongHead => Unread::Told(431, fault.to_string()),
+            Fault::LongBody => Unread::Told(413, fault.to_string()),
+            Fault::Malformed(_) => Unread::Told(400, fault.to_string()),
+        }
+    }
+}
+
+/// The rest of a request's body, on its way from the client to whoever passes it on.
+pub struct Upload {
+    body: Body,
+    pieces: mpsc::Sender<Piece>,
+    /// What has been read of the next piece.
+    piece: Chain,
+    pace: Pace,
+}
+
+/// Reads a request: its head by this time, and its body as far as that is kept.
+pub async fn read(
+    connection: &mut Connection,
+    pool: &Pool,
+    until: Instant,
+) -> Result<(Request, Option<Upload>), Unread> {
+    let head = timeout_at(until, connection.read_head()).await.map_err(|_| Unread::late())??;
+    head.check_request().map_err(Fault::Malformed)?;
+    let framing = head.framing(Framing::Length(0)).map_err(Fault::Malformed)?;
+    let mut rest = Body::new(framing)?;
+    if head.lists("expect", "100-continue") && !connection.has_input() {
+        let mut go_on = pool.chain();
+        go_on.push(b"HTTP/1.1 100 Continue\r\n\r\n");
+        connection.write(&[&go_on]).await.map_err(|_| Unread::Gone)?;
+    }
+    let (mut body, mut pace) = (pool.chain(), Pace::of_sender());
+    loop {
+        let most = pool.kept();
+        if piece(connection, &mut rest, &mut body, most, &mut pace).await? {
+            return Ok((Request { head, body, rest: None }, None));
+        }
+        if body.len() >= most {
+            break;
+        }
+    }
+    let length = if let Framing::Length(length) = framing { Some(length) } else { None };
+    let (sender, pieces) = mpsc::channel(1);
+    let rest_of = Rest { length, pieces: Some(pieces).into() };
+    let upload = Upload { body: rest, pieces: sender, piece: pool.chain(), pace };
+    Ok((Request { head, body, rest: Some(rest_of) }, Some(upload)))
+}
+
+/// Reads more of a body; true once it is whole. Safe to drop midway.
+async fn piece(
+    connection: &mut Connection,
+    rest: &mut Body,
+    to: &mut Chain,
+    most: usize,
+    pace: &mut Pace,
+) -> Result<bool, Unread> {
+    let (since, had) = (Instant::now(), to.len());
+    let read = timeout(pace.left(), connection.read_piece(rest, to, most)).await;
+    pace.waited(since.elapsed(), to.len() - had);
+    Ok(read.map_err(|_| Unread::late())??)
+}
+
+/// While a client waits for its answer: passes on more of what it sends, true once that is all, or else notices
+/// that it leaves. Safe to drop midway.
+pub async fn more(
+    connection: &mut Connection,
+    upload: &mut Option<Upload>,
+    pool: &Pool,
+) -> Result<bool, Unread> {
+    let Some(Upload { body, pieces, piece: bytes, pace }) = upload else {
+        if connection.waiting() >= AHEAD {
+            std::future::pending::<()>().await;
+        }
+        return match connection.fill().await {
+            Ok(1..) => Ok(false),
+            _ => Err(Unread::Gone),
+        };
+    };
+    let Ok(place) = pieces.reserve().await else {
+        // Whoever passed it on has ended: the answer is on its way, and says how.
+        return std::future::pending().await;
+    };
+    let last = piece(connection, body, bytes, pool.piece(), pace).await?;
+    place.send(Piece { bytes: std::mem::replace(bytes, pool.chain()), last });
+    // Others have their turn, however fast this client is.
+    tokio::task::yield_now().await;
+    if last {
+        *upload = None;
+    }
+    Ok(last)
+}
--- /dev/null
+++ b/daemon/src/terminal/outgoing.rs
@@ -0,0 +1,116 @@
+//! Answers as they go out: the daemon's own, and an app server's, whole or as it flows.
+
+use std::io;
+
+use gradepaddle::Micros;
+use tokio::time::{Instant, timeout};
+
+use crate::buffers::{Chain, Pool};
+use crate::http::{self, Answer, Connection, Flow, Framing, Head};
+use crate::pace::Pace;
+
+/// An answer, its head still open.
+pub struct Outgoing {
+    head: Chain,
+    body: Chain,
+    /// What follows behind that, and how it is framed towards the client.
+    flow: Option<(Box<Flow>, Framing)>,
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Internal Server Error",
+    }
+}
+
+impl Outgoing {
+    /// An answer of the daemon's own.
+    pub fn plain(pool: &Pool, status: u16, pause: Option<Micros>, text: &str) -> Self {
+        let (mut head, mut body) = (pool.chain(), pool.chain());
+        body.push(text.as_bytes());
+        body.push(b"\n");
+        let line = format!("HTTP/1.1 {status} {}\r\nContent-Type: text/plain\r\n", reason(status));
+        head.push(line.as_bytes());
+        if let Some(pause) = pause {
+            head.push(format!("Retry-After: {:.3}\r\n", pause as f64 / 1e6).as_bytes());
+        }
+        http::push_framing(&mut head, Framing::Length(body.len() as u64));
+        Outgoing { head, body, flow: None }
+    }
+
+    /// An app server's answer to this request, its body unchanged.
+    pub fn passed_on(pool: &Pool, request: &Head, answer: Answer) -> Self {
+        let Answer { head: from, body, flow } = answer;
+        let mut head = pool.chain();
+        head.push(format!("HTTP/1.1 {}\r\n", from.status_line()).as_bytes());
+        http::push_headers(&mut head, &from, &[]);
+        let flow = flow.map(|flow| {
+            let framing = match flow.framing {
+                Framing::Length(length) => Framing::Length(length),
+                // The client must be able to tell an end from a break.
+                _ if request.is_old() => Framing::UntilClose,
+                _ => Framing::Chunked,
+            };
+            (flow, framing)
+        });
+        match &flow {
+            Some((_, framing)) => http::push_framing(&mut head, *framing),
+            None if request.method() == "HEAD" || from.is_bare() => {}
+            None => http::push_framing(&mut head, Framing::Length(body.len() as u64)),
+        }
+        Outgoing { head, body, flow }
+    }
+
+    /// Writes it. True if the connection stays, false if it is to end, with the answer whole in both cases.
+    pub async fn write(self, connection: &mut Connection, pool: &Pool, keep: bool) -> io::Result<bool> {
+        let Outgoing { mut head, body, flow } = self;
+        let keep = keep && !matches!(flow, Some((_, Framing::UntilClose)));
+        head.push(if keep { b"\r\n" as &[u8] } else { b"Connection: close\r\n\r\n" });
+        let Some((flow, framing)) = flow else {
+            connection.write(&[&head, &body]).await?;
+            return Ok(keep);
+        };
+        let frame = |length, last| match framing {
+            Framing::Chunked => http::chunk(pool, length, last),
+            _ => (pool.chain(), pool.chain()),
+        };
+        let (before, after) = frame(body.len(), false);
+        connection.write(&[&head, &before, &body, &after]).await?;
+        drop((head, before, body, after));
+        let Flow { connection: mut from, body: mut rest, parking, .. } = *flow;
+        let mut pace = Pace::of_reader();
+        loop {
+            let (since, mut piece) = (Instant::now(), pool.chain());
+            let read = timeout(pace.left(), from.read_piece(&mut rest, &mut piece, pool.piece())).await;
+            pace.waited(since.elapsed(), piece.len());
+            let Ok(Ok(last)) = read else {
+                // Broken off, or standing still: what the client has must not look whole.
+                connection.break_off();
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            };
+            let (before, after) = frame(piece.len(), last);
+            connection.write(&[&before, &piece, &after]).await?;
+            if last {
+                break;
+            }
+            // Others have their turn, however fast both sides are.
+            tokio::task::yield_now().await;
+        }
+        // With more than belongs to the answer it is of no further use.
+        if let Some(parking) = parking.and_then(|parking| parking.upgrade())
+            && !from.has_input()
+        {
+            let _ = parking.send(from);
+        }
+        Ok(keep)
+    }
+}
--- a/daemon/src/transaction.rs
+++ b/daemon/src/transaction.rs
@@ -15,11 +15,11 @@
 /// A request in its protocol.
 pub enum Message {
     /// HTTP/1.1.
-    Http(http::Message),
+    Http(http::Request),
 }
 
 /// An app server's answer in its protocol.
 pub enum Reply {
     /// HTTP/1.1.
-    Http(http::Message),
+    Http(http::Answer),
 }
--- a/daemon/tests/network/main.rs
+++ b/daemon/tests/network/main.rs
@@ -1,5 +1,6 @@
 //! The daemon as a process on real sockets: each test is its clients, its app servers and discovery.
 
+mod flow;
 mod operators;
 mod replaced;
 mod rig;
@@ -214,7 +215,7 @@
         ("an unknown coding", order("Transfer-Encoding: gzip, chunked\r\n")),
         ("a chunk without size", order("Transfer-Encoding: chunked\r\n") + "zz\r\n"),
         ("a chunk too long for its size", order("Transfer-Encoding: chunked\r\n") + "1\r\nab\r\n"),
-        ("a body too long", order("Content-Length: 65537\r\n")),
+        ("a body too long", order("Content-Length: 60000000\r\n")),
         ("chunks too long", order("Transfer-Encoding: chunked\r\n") + "fffffffffffffffff\r\n"),
         ("a head too long", format!("GET /{long} HTTP/1.1\r\n\r\n")),
         ("an unknown class", "GET /other HTTP/1.1\r\nX-Correlation-Id: c\r\n\r\n".to_owned()),
--- a/dispatch/benches/dispatch.rs
+++ b/dispatch/benches/dispatch.rs
@@ -63,6 +63,7 @@
             key: Some(format!("key{}", self.ticket % 500)),
             arrived: self.now,
             time_left: 24 * HOUR,
+            whole: true,
             message: self.ticket,
         };
         self.out.clear();
--- a/dispatch/src/dispatch.rs
+++ b/dispatch/src/dispatch.rs
@@ -103,6 +103,15 @@
                     self.told_left(now, ticket, &mut echoes, out);
                 }
             }
+            Input::Uploaded { ticket } => self.uploaded(now, ticket),
+            Input::Spent { ticket, attempt } => {
+                if let Some(open) = self.open.get_mut(&ticket).filter(|open| open.spent.is_none()) {
+                    open.spent = Some(attempt);
+                    let id = open.id.clone();
+                    let event = Event::Streaming { request: &id, attempt };
+                    self.decide(now, event, &mut echoes, out);
+                }
+            }
             Input::Written { ticket, attempt, extent } => {
                 if let Some(of) = self.attempt(ticket, attempt) {
                     of.extent = of.extent.max(extent);
@@ -190,7 +199,7 @@
         echoes: &mut VecDeque<Echo>,
         out: &mut Vec<Output<M, R>>,
     ) {
-        let Transaction { own, class, tenant, key, arrived, time_left, message } = transaction;
+        let Transaction { own, class, tenant, key, arrived, time_left, whole, message } = transaction;
         if !self.own.insert(own.clone()) {
             // App servers know requests by their clients' ids: two at once could get each other's answers,
             // and the second would look like a copy of the first.
@@ -198,7 +207,7 @@
             return;
         }
         let id: Id = format!("{}-{ticket}", self.name).into();
-        let ends = arrived.saturating_add(time_left);
+        let ends = if whole { arrived.saturating_add(time_left) } else { Micros::MAX };
         let due = ends.saturating_add(self.limits.backstop);
         let open = Open {
             id: id.clone(),
@@ -206,6 +215,9 @@
             class,
             message,
             ends,
+            time_left,
+            whole: whole.then_some(arrived),
+            spent: None,
             owed: true,
             attempts: Vec::new(),
             late: false,
@@ -214,12 +226,23 @@
         };
         self.open.insert(ticket, open);
         self.dues.insert((due, ticket));
-        let ttl = ends.saturating_sub(now);
+        // What still comes is expected soon: of a client that stops amid it, the shell tells.
+        let ttl = arrived.saturating_add(time_left).saturating_sub(now);
         let arrival = Arrival { id, class, tenant, ttl, hint: None, key: key.as_deref() };
         self.decide(now, Event::Request(arrival), echoes, out);
         self.settle(ticket);
     }
 
+    /// The client's time begins, and with it the deadline.
+    fn uploaded(&mut self, now: Micros, ticket: Ticket) {
+        let Some(open) = self.open.get_mut(&ticket).filter(|open| open.whole.is_none()) else { return };
+        self.dues.remove(&(open.due, ticket));
+        open.whole = Some(now);
+        open.ends = now.saturating_add(open.time_left);
+        open.due = open.ends.saturating_add(self.limits.backstop);
+        self.dues.insert((open.due, ticket));
+    }
+
     #[allow(clippy::too_many_arguments)]
     fn ended(
         &mut self,
@@ -244,7 +267,8 @@
             outcome => outcome,
         };
         of.outcome = Some(outcome);
-        let took = now.saturating_sub(of.sent);
+        // How fast its client sends says nothing about an app server.
+        let took = now.saturating_sub(of.sent.max(open.whole.unwrap_or(now)));
         open.late = outcome == Outcome::TimedOut;
         match (outcome, reply) {
             (Outcome::Ok, Some(reply)) => {
--- a/dispatch/src/guard.rs
+++ b/dispatch/src/guard.rs
@@ -27,6 +27,8 @@
     Misplaced,
     /// A send for a transaction that has its final answer.
     SentAfterAnswer,
+    /// A send of what an earlier attempt has used up.
+    SentSpent,
     /// A refusal of a transaction that may have run, where that is not harmless.
     RefusedAfterRun,
     /// A final answer to a transaction that has one, or that nobody waits for.
@@ -39,7 +41,7 @@
 
 impl Defect {
     /// All kinds, in the order of their counts.
-    pub const ALL: [Defect; 11] = [
+    pub const ALL: [Defect; 12] = [
         Defect::RepeatedUnsafe,
         Defect::SecondCopy,
         Defect::TooManyAttempts,
@@ -47,6 +49,7 @@
         Defect::SentToUnknown,
         Defect::Misplaced,
         Defect::SentAfterAnswer,
+        Defect::SentSpent,
         Defect::RefusedAfterRun,
         Defect::SecondAnswer,
         Defect::Unanswered,
@@ -64,6 +67,7 @@
             Defect::SentToUnknown => "a send to an app server that is not in the table",
             Defect::Misplaced => "a send to an app server that is not open to the class",
             Defect::SentAfterAnswer => "a send after the final answer",
+            Defect::SentSpent => "a send of what is kept no more",
             Defect::RefusedAfterRun => "a refusal of what may have run",
             Defect::SecondAnswer => "a second final answer",
             Defect::Unanswered => "no final answer by the deadline",
@@ -159,6 +163,9 @@
         if open.attempts.len() >= self.max_attempts {
             return Some(Defect::TooManyAttempts);
         }
+        if open.spent.is_some() {
+            return Some(Defect::SentSpent);
+        }
         let Some((standing, place)) = server else { return Some(Defect::SentToUnknown) };
         if standing.closed().is_some_and(|at| now > at.saturating_add(self.grace)) {
             return Some(Defect::SentToClosed);
--- a/dispatch/src/io.rs
+++ b/dispatch/src/io.rs
@@ -22,10 +22,12 @@
     pub tenant: Option<usize>,
     /// What it is about.
     pub key: Option<String>,
-    /// When its last byte had come.
+    /// When its last byte had come, or when it was taken.
     pub arrived: Micros,
-    /// How long the client waits from then on.
+    /// How long the client waits from its last byte on.
     pub time_left: Micros,
+    /// Its last byte has come; else [`Input::Uploaded`] tells of that.
+    pub whole: bool,
     /// What goes to the app server; cloned for each attempt.
     pub message: M,
 }
@@ -78,6 +80,18 @@
         /// The transaction.
         ticket: Ticket,
     },
+    /// The last byte of a transaction has come that was taken before that: its client's time begins.
+    Uploaded {
+        /// The transaction.
+        ticket: Ticket,
+    },
+    /// What this attempt passes on is kept no more, so no other attempt can be made.
+    Spent {
+        /// The transaction.
+        ticket: Ticket,
+        /// The attempt, counted from 0.
+        attempt: u32,
+    },
     /// How far an attempt has been written by now. A shell may leave this out and say it at the end.
     Written {
         /// The transaction.
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -21,7 +21,8 @@
 //! };
 //! dispatch.handle(0, Input::List { kind: ListKind::Full, servers: vec![server] }, &mut out);
 //! let transaction = Transaction {
-//!     own: (*b"c1").into(), class: 0, tenant: None, key: None, arrived: 10, time_left: 500_000, message: "GET /",
+//!     own: (*b"c1").into(), class: 0, tenant: None, key: None, arrived: 10, time_left: 500_000, whole: true,
+//!     message: "GET /",
 //! };
 //! out.clear();
 //! dispatch.handle(10, Input::Taken { ticket: 1, transaction }, &mut out);
--- a/dispatch/src/transaction.rs
+++ b/dispatch/src/transaction.rs
@@ -16,8 +16,14 @@
     pub own: Arc<[u8]>,
     pub class: usize,
     pub message: M,
-    /// When its client gives up.
+    /// When its client gives up; far off while the client still sends.
     pub ends: Micros,
+    /// How long the client waits from its last byte on.
+    pub time_left: Micros,
+    /// When its last byte had come.
+    pub whole: Option<Micros>,
+    /// The attempt that has used up what cannot be had again.
+    pub spent: Option<u32>,
     /// Its final answer is still to be given.
     pub owed: bool,
     pub attempts: Vec<Attempt>,
--- a/dispatch/tests/hard_cases.rs
+++ b/dispatch/tests/hard_cases.rs
@@ -69,8 +69,16 @@
 
     fn take(&mut self, ticket: Ticket, own: &[u8], class: usize) -> Outputs {
         let (arrived, time_left) = (self.now, DEADLINE);
-        let transaction =
-            Transaction { own: own.into(), class, tenant: None, key: None, arrived, time_left, message: "m" };
+        let transaction = Transaction {
+            own: own.into(),
+            class,
+            tenant: None,
+            key: None,
+            arrived,
+            time_left,
+            whole: true,
+            message: "m",
+        };
         self.tell(Input::Taken { ticket, transaction })
     }
 
@@ -376,6 +384,7 @@
             key: None,
             arrived: now,
             time_left: 4_000_000,
+            whole: true,
             message: ticket,
         };
         out.clear();
--- a/emulator/src/balancer.rs
+++ b/emulator/src/balancer.rs
@@ -285,6 +285,7 @@
             key: Some(format!("k{}", quest.key)),
             arrived: now,
             time_left: gives_up.saturating_sub(now),
+            whole: true,
             message: key,
         };
         self.tell(number, Input::Taken { ticket: key.data().as_ffi(), transaction });
