--- a/daemon/src/routed_task.rs
+++ b/daemon/src/routed_task.rs
@@ -403,9 +403,10 @@
     let cause = match status {
         200 => Cause::Served,
         503 | 504 if head.get("x-unprocessed") == Some("1") => Cause::Unprocessed,
-        // These speak of the moment or the connection, other 4xx of the request.
+        // These speak of the moment or the connection, other 4xx of the request. Nor is an answer that is none
+        // of this protocol's, but no error either, a failure of the app server: another would say the same.
         408 | 421 | 425 | 429 => Cause::Failed,
-        400..=499 => Cause::Denied,
+        201..=499 => Cause::Denied,
         _ => Cause::Failed,
     };
     let mut rest = Body::new(framing).map_err(|fault| cause_of(&fault))?;
