Keep clients' connections in a crowd until few are left, and spare steady senders

Change: connections end with answers from seven eighths on; those amid a request go last, counted from their last byte; an answered connection with nothing unread closes at once; on the way out those that stand still go after 0.4 s.

--- a/daemon/src/door/mod.rs
+++ b/daemon/src/door/mod.rs
@@ -24,7 +24,7 @@
 use wire::Line;
 
 /// The most callers at once: with the listener, the descriptors that the door has for itself.
-pub const CALLERS: usize = 24;
+pub const CALLERS: usize = 12;
 /// A caller that has sent no line after this is closed.
 const LINE_WITHIN: Duration = Duration::from_millis(2500);
 /// Where all places are taken, one that has sent no line for this long makes room.
--- a/daemon/src/duty.rs
+++ b/daemon/src/duty.rs
@@ -29,12 +29,21 @@
     pub refuses: bool,
     /// What waits to be accepted is left to an heir.
     pub to_heir: bool,
+    /// The process ends once all is answered.
+    pub leaves: bool,
 }
 
 impl Stance {
     /// In service.
-    pub const SERVING: Stance =
-        Stance { ready: true, accepts: true, parts: false, keeps: true, refuses: false, to_heir: false };
+    pub const SERVING: Stance = Stance {
+        ready: true,
+        accepts: true,
+        parts: false,
+        keeps: true,
+        refuses: false,
+        to_heir: false,
+        leaves: false,
+    };
 
     fn and(self, other: Stance) -> Stance {
         Stance {
@@ -44,6 +53,7 @@
             keeps: self.keeps && other.keeps,
             refuses: self.refuses || other.refuses,
             to_heir: self.to_heir || other.to_heir,
+            leaves: self.leaves || other.leaves,
         }
     }
 }
@@ -92,19 +102,19 @@
             parts: past(at, FRONT),
             keeps: !past(at, DRAINED),
             refuses: past(at, DRAINED),
-            to_heir: false,
+            ..Stance::SERVING
         });
         // Until the front knows, clients keep their connections: it may have no other balancer to give them.
         let leaves = self.leaves.map(|(at, heir)| match heir {
             false => {
                 let over = past(at, LEAVE);
                 let (ready, accepts, parts, keeps) = (false, !over, over, !over);
-                Stance { ready, accepts, parts, keeps, ..Stance::SERVING }
+                Stance { ready, accepts, parts, keeps, leaves: true, ..Stance::SERVING }
             }
             // To the front the two are one balancer, which is ready.
             true => {
                 let keeps = !past(at, TO_HEIR);
-                Stance { accepts: false, parts: true, keeps, to_heir: true, ..Stance::SERVING }
+                Stance { accepts: false, parts: true, keeps, to_heir: true, leaves: true, ..Stance::SERVING }
             }
         });
         [drained, leaves].into_iter().flatten().fold(Stance::SERVING, Stance::and)
--- a/daemon/src/http/mod.rs
+++ b/daemon/src/http/mod.rs
@@ -105,6 +105,13 @@
     _permit: Permit,
 }
 
+/// How far a head has been looked for.
+#[derive(Default)]
+pub struct Search {
+    searched: usize,
+    skipped: usize,
+}
+
 impl std::fmt::Display for Fault {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
@@ -160,27 +167,35 @@
         }
     }
 
-    /// Reads the next head. Empty lines before it are skipped, as RFC 9112 asks.
+    /// Reads the next head. Safe to drop midway.
     pub async fn read_head(&mut self) -> Result<Head, Fault> {
-        let (mut searched, mut skipped) = (0, 0);
+        let mut search = Search::default();
         loop {
-            while searched == 0 && matches!(self.inbox.bytes().next(), Some(b'\r' | b'\n')) {
-                self.inbox.consume(1);
-                skipped += 1;
-            }
-            if let Some(end) = head::end(&self.inbox, searched) {
-                if end > MAX_HEAD {
-                    return Err(Fault::LongHead);
-                }
-                let text = self.inbox.copy(end);
-                self.inbox.consume(end);
-                return Head::parse(text).map_err(Fault::Malformed);
+            if let Some(head) = self.take_head(&mut search)? {
+                return Ok(head);
             }
-            searched = self.inbox.len();
-            if searched + skipped > MAX_HEAD {
+            self.more().await?;
+        }
+    }
+
+    /// The next head, if it is there. Empty lines before it are skipped, as RFC 9112 asks.
+    pub fn take_head(&mut self, search: &mut Search) -> Result<Option<Head>, Fault> {
+        while search.searched == 0 && matches!(self.inbox.bytes().next(), Some(b'\r' | b'\n')) {
+            self.inbox.consume(1);
+            search.skipped += 1;
+        }
+        if let Some(end) = head::end(&self.inbox, search.searched) {
+            if end > MAX_HEAD {
                 return Err(Fault::LongHead);
             }
-            self.more().await?;
+            let text = self.inbox.copy(end);
+            self.inbox.consume(end);
+            return Head::parse(text).map(Some).map_err(Fault::Malformed);
+        }
+        search.searched = self.inbox.len();
+        match search.searched + search.skipped > MAX_HEAD {
+            true => Err(Fault::LongHead),
+            false => Ok(None),
         }
     }
 
@@ -233,17 +248,10 @@
 
     /// The next head, if it has come: while one side still sends, the other may speak already.
     pub fn try_head(&mut self) -> Result<Option<Head>, Fault> {
+        let mut search = Search::default();
         loop {
-            if let Some(end) = head::end(&self.inbox, 0) {
-                if end > MAX_HEAD {
-                    return Err(Fault::LongHead);
-                }
-                let text = self.inbox.copy(end);
-                self.inbox.consume(end);
-                return Head::parse(text).map(Some).map_err(Fault::Malformed);
-            }
-            if self.inbox.len() > MAX_HEAD {
-                return Err(Fault::LongHead);
+            if let Some(head) = self.take_head(&mut search)? {
+                return Ok(Some(head));
             }
             match self.try_fill() {
                 Ok(0) => return Err(Fault::Ended),
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -195,7 +195,9 @@
     };
     // An inherited socket may be served by another process: what is taken off it must be served here.
     let when = config.inherited.map(|_| is_ready.clone());
-    let mut accepting = spawn_local(terminal::accept(listener, when, Rc::new(terminals), alive));
+    let terminals = Rc::new(terminals);
+    spawn_local(terminal::hurry(terminals.clone()));
+    let mut accepting = spawn_local(terminal::accept(listener, when, terminals, alive));
     info!(name = config.name, listen = %address, discovery = %config.discovery, "started");
     if let Some(door) = door {
         info!(admin_addr = %door.local_addr().map_err(|e| e.to_string())?, "operators' door open");
--- a/daemon/src/terminal.rs
+++ b/daemon/src/terminal.rs
@@ -30,6 +30,9 @@
 const HEAD_WITHIN: Duration = Duration::from_millis(2700);
 /// A client that has asked, and sends nothing for this long, is closed.
 const IDLE: Duration = Duration::from_secs(10);
+/// On the way out, a client may stand still amid its request for this long. Those that never go on would keep
+/// the process, and with it the one that follows, for seconds.
+const STAND_STILL: Duration = Duration::from_millis(400);
 /// A new connection may say something for this long, also where idle ones are closed.
 const SPEAK_WITHIN: Duration = Duration::from_millis(300);
 /// How soon one that waits may be old enough to make room for another.
@@ -156,23 +159,21 @@
             }
         }
         let until = first.take().unwrap_or_else(|| Instant::now() + HEAD_WITHIN);
-        let rest = context.budget.wait(Wait::Rest);
-        let request = tokio::select! {
-            biased;
-            request = intake::read(&mut connection, &context.pool, until) => request,
-            () = rest.unwanted() => return None,
-        };
+        let mut rest = context.budget.wait(Wait::Rest);
+        let request = intake::read(&mut connection, &context.pool, until, &mut rest).await;
         drop(rest);
+        let mut all_read = false;
         let (reply, keep) = match request {
             Ok((request, upload)) => {
                 let open = context.budget.take(Side::Open);
                 let keep = request.head.keeps_alive() && open.is_some();
                 let (reply, whole) =
                     answer(&mut connection, context, request, upload, open.is_some()).await?;
+                all_read = whole;
                 // Read after the answer is there: the daemon may be on its way out since.
                 let keep = keep && whole && !context.phase.borrow().parts;
                 // In a crowd most clients ask once in a long while, and the next may find no place.
-                (reply, keep && !context.budget.is_crowded())
+                (reply, keep && !context.budget.is_short(Side::Terminal))
             }
             Err(unread) => {
                 let (status, why) = unread.told()?;
@@ -181,12 +182,24 @@
         };
         match reply.write(&mut connection, &context.pool, keep).await {
             Ok(true) => {}
+            // Nothing of the client's is unread, so the close does not reset the connection.
+            Ok(false) if all_read && connection.is_quiet() => return None,
             Ok(false) => return Some(connection),
             Err(_) => return None,
         }
     }
 }
 
+/// On the way out, closes clients that stand still amid a request, until the process ends.
+pub async fn hurry(context: Rc<Context>) {
+    // The phase lasts as long as the process.
+    let _ = context.phase.clone().wait_for(|stance| stance.leaves && !stance.keeps).await;
+    loop {
+        context.budget.hurry(Instant::now(), STAND_STILL);
+        tokio::time::sleep(LOOK_AGAIN).await;
+    }
+}
+
 /// Waits for the first byte of a request; false if the connection is to be closed.
 async fn awaited(
     connection: &mut Connection,
--- a/daemon/src/terminal/intake.rs
+++ b/daemon/src/terminal/intake.rs
@@ -4,8 +4,9 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::buffers::{Chain, Pool};
-use crate::http::{Body, Connection, Fault, Framing, Piece, Request, Rest};
+use crate::http::{Body, Connection, Fault, Framing, Piece, Request, Rest, Search};
 use crate::pace::Pace;
+use crate::sockets::Waiting;
 
 /// A client may send this much of its next request while it waits.
 const AHEAD: usize = 8 * 1024;
@@ -52,13 +53,29 @@
     pace: Pace,
 }
 
-/// Reads a request: its head by this time, and its body as far as that is kept.
+/// Reads a request: its head by this time, and its body as far as that is kept. `waiting` is kept up with what
+/// comes.
 pub async fn read(
     connection: &mut Connection,
     pool: &Pool,
     until: Instant,
+    waiting: &mut Waiting,
 ) -> Result<(Request, Option<Upload>), Unread> {
-    let head = timeout_at(until, connection.read_head()).await.map_err(|_| Unread::late())??;
+    let mut search = Search::default();
+    let head = loop {
+        if let Some(head) = connection.take_head(&mut search)? {
+            break head;
+        }
+        tokio::select! {
+            biased;
+            read = timeout_at(until, connection.fill()) => match read {
+                Err(_) => return Err(Unread::late()),
+                Ok(Ok(1..)) => waiting.touch(),
+                Ok(_) => return Err(Unread::Gone),
+            },
+            () = waiting.unwanted() => return Err(Unread::Gone),
+        }
+    };
     head.check_request().map_err(Fault::Malformed)?;
     let framing = head.framing(Framing::Length(0)).map_err(Fault::Malformed)?;
     let mut rest = Body::new(framing)?;
@@ -70,7 +87,13 @@
     let (mut body, mut pace) = (pool.chain(), Pace::of_sender());
     loop {
         let most = pool.kept();
-        if piece(connection, &mut rest, &mut body, most, &mut pace).await? {
+        let whole = tokio::select! {
+            biased;
+            whole = piece(connection, &mut rest, &mut body, most, &mut pace) => whole?,
+            () = waiting.unwanted() => return Err(Unread::Gone),
+        };
+        waiting.touch();
+        if whole {
             return Ok((Request { head, body, rest: None }, None));
         }
         if body.len() >= most {
