--- a/daemon/src/handover/mod.rs
+++ b/daemon/src/handover/mod.rs
@@ -14,7 +14,7 @@
 use gradepaddle::Id;
 use serde_json::Value;
 use tokio::sync::Notify;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::sleep;
 use tracing::{info, warn};
 
 use crate::mail;
@@ -26,6 +26,8 @@
 
 /// How often the folder is looked at. A ban made elsewhere must bind here well within the grace.
 const LOOK: Duration = Duration::from_millis(200);
+/// While there is another process: what the one gives up the other needs at once.
+const LOOK_CLOSELY: Duration = Duration::from_millis(40);
 /// The longest table that is left for an heir.
 const MOST_TABLE: usize = 1024 * 1024;
 
@@ -103,22 +105,27 @@
     }
 
     /// Claims this process's part of the descriptors and keeps to it.
-    pub fn share(&self, budget: &Budget, leaving: bool) {
-        let Some(sockets) = self.sockets else { return };
+    pub fn share(&self, budget: &Budget, leaving: bool) -> Others {
+        let others = self.others();
+        let Some(sockets) = self.sockets else { return others };
         budget.limit(self.process.get().claim);
         let turn = match self.folder.turn() {
             Ok(Some(turn)) => turn,
-            Ok(None) => return,
-            Err(e) => return self.say(format!("whose turn it is: {e}")),
+            Ok(None) => return others,
+            Err(e) => {
+                self.say(format!("whose turn it is: {e}"));
+                return others;
+            }
         };
-        let process = self.process.get();
-        let claim = self.others().claim(sockets, budget.holds(), process.claim, leaving);
+        let (others, process) = (self.others(), self.process.get());
+        let claim = others.claim(sockets, budget.holds(), process.claim, leaving);
         // What is given up is given up before that is said, what is won used after.
         budget.limit(claim.min(process.claim));
         self.tell(Process { claim, ..process });
         budget.limit(claim);
         self.changed.notify_one();
         drop(turn);
+        others
     }
 
     /// Writes a ban down, or takes it away. Done when this returns.
@@ -211,15 +218,14 @@
 
     /// Keeps bans and shares as the others leave them, until the process ends.
     pub async fn run(self: Rc<Self>, decision: mail::Mailbox, budget: Budget, phase: Rc<Phase>) {
-        let mut looks = interval(LOOK);
-        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            looks.tick().await;
+            let others = self.share(&budget, phase.duty().is_leaving());
+            let alone = !others.older && !others.younger;
+            sleep(if alone { LOOK } else { LOOK_CLOSELY }).await;
             for (server, out) in self.bans() {
                 info!(%server, out, "handover: ban made or ended by another process");
                 decision.heed_ban(server, out);
             }
-            self.share(&budget, phase.duty().is_leaving());
         }
     }
 }
--- a/daemon/src/handover/record.rs
+++ b/daemon/src/handover/record.rs
@@ -89,7 +89,12 @@
             return (holds + SLACK).min(last);
         }
         let room = sockets.saturating_sub(self.before);
-        let share = room.saturating_sub(if self.younger { FIRST.max(room / 4) } else { FIRST }).max(FIRST);
+        let share = match self.younger {
+            false => room.saturating_sub(FIRST),
+            // Half, and less than a quarter for the younger one only while that much is held here.
+            true => (holds + SLACK).clamp(room / 2, room - room / 4).min(room.saturating_sub(FIRST)),
+        };
+        let share = share.max(FIRST);
         if share <= last {
             // What it holds beyond its share it gives up by and by, and claims till then.
             return share.max(holds.min(last));
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -145,10 +145,7 @@
     pool.limit(config.memory_mb * 1024 * 1024 / 2);
     let budget = sockets::Budget::new(config.sockets, door.as_ref().map_or(0, |_| door::CALLERS + 1));
     let handover = handover(&config, door.is_some());
-    let older = handover.as_ref().is_some_and(|handover| {
-        handover.share(&budget, false);
-        handover.others().older
-    });
+    let older = handover.as_ref().is_some_and(|handover| handover.share(&budget, false).older);
     let balancer = Balancer::new(config.deployment.settings.clone(), config.seed);
     let balancer = balancer.map_err(|e| format!("field {e}"))?;
     let (table_known, mut known) = watch::channel(Known::default());
