Send the probes that the decisions ask for, and read hints and load reports

Also in every front: where all probes fail a fleet stayed idle for good. hint: None (dispatch.rs, taken); X-Weight-Hint and reports were never read.

--- a/check/src/world.rs
+++ b/check/src/world.rs
@@ -353,6 +353,7 @@
                     class: usize::from(c) % case.sizes.classes.len(),
                     tenant: None,
                     key: None,
+                    hint: None,
                     arrived: self.now,
                     time_left: ends - self.now,
                     whole: true,
@@ -415,7 +416,7 @@
                 self.left.late_ends -= 1;
                 let (ticket, attempt) = self.last?;
                 let (extent, cause, reply) = (Extent::Whole, Cause::Served, Some(u8::MAX));
-                self.tell(case, Input::Ended { ticket, attempt, extent, cause, reply });
+                self.tell(case, Input::Ended { ticket, attempt, extent, cause, reply, report: None });
             }
             Step::Drain(s) => {
                 self.left.drains -= 1;
@@ -509,7 +510,7 @@
         }
         self.last = (self.left.late_ends > 0).then_some((ticket, attempt));
         let reply = matches!(cause, Cause::Served | Cause::Failed).then_some(client);
-        self.tell(case, Input::Ended { ticket, attempt, extent, cause, reply });
+        self.tell(case, Input::Ended { ticket, attempt, extent, cause, reply, report: None });
         Some(())
     }
 
--- a/daemon/src/app_server.rs
+++ b/daemon/src/app_server.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::http::Connection;
+use crate::probe::{self, Duty};
 use crate::routed_task::{self, Assignment, Context, Entry};
 use crate::sockets::Side;
 
@@ -18,6 +19,8 @@
 pub enum Command {
     /// Start an attempt.
     Start(Assignment),
+    /// Probe it.
+    Probe(Duty),
     /// Close the idle connections.
     DropIdle,
     /// Where it listens from now on.
@@ -76,16 +79,18 @@
         };
         match command {
             Some(Command::Start(assignment)) => {
-                let mut reused = None;
-                while let Some(last) = idle.pop() {
-                    // It may have been closed since we last looked.
-                    if last.connection.is_quiet() {
-                        reused = Some(last.connection);
-                        break;
-                    }
-                }
+                let task = routed_task::run(
+                    assignment,
+                    reused(&mut idle),
+                    view.clone(),
+                    park.downgrade(),
+                    context.clone(),
+                );
+                tokio::task::spawn_local(task);
+            }
+            Some(Command::Probe(duty)) => {
                 let task =
-                    routed_task::run(assignment, reused, view.clone(), park.downgrade(), context.clone());
+                    probe::run(duty, reused(&mut idle), view.clone(), park.downgrade(), context.clone());
                 tokio::task::spawn_local(task);
             }
             Some(Command::DropIdle) => idle.clear(),
@@ -106,6 +111,17 @@
     }
 }
 
+/// The idle connection that was used last.
+fn reused(idle: &mut Vec<Idle>) -> Option<Connection> {
+    while let Some(last) = idle.pop() {
+        // It may have been closed since we last looked.
+        if last.connection.is_quiet() {
+            return Some(last.connection);
+        }
+    }
+    None
+}
+
 /// The first idle connection that its app server has closed, or spoken on out of turn: an app server
 /// that restarts leaves dead connections, and a request written to one counts as having run.
 async fn stirred(idle: &[Idle]) -> usize {
--- a/daemon/src/decision.rs
+++ b/daemon/src/decision.rs
@@ -8,10 +8,11 @@
 use gradepaddle_dispatch::{Dispatch, Input, Output, Ticket};
 use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, sleep_until};
-use tracing::{debug, error, info, warn};
+use tracing::{debug, error, info};
 
 use crate::app_server;
 use crate::mail::{Change, Inbox, Mail, Mailbox};
+use crate::probe::Duty;
 use crate::routed_task::{Assignment, Context, Report};
 use crate::service_table;
 use crate::transaction::{FinalAnswer, Message, Reply};
@@ -99,6 +100,7 @@
             Mail::Input(input) => {
                 match &input {
                     Input::Left { ticket } => self.over(*ticket, |channels| drop(channels.answer.take())),
+                    Input::Probed { server, cause, report } => debug!(%server, ?cause, ?report, "probed"),
                     Input::Ended { ticket, attempt, extent, cause, .. } => {
                         debug!(ticket, attempt, ?extent, ?cause, "ended");
                         let attempt = *attempt as usize;
@@ -203,7 +205,9 @@
             }
             Output::Log { text } => info!("decisions: {text}"),
             Output::Probe { server } => {
-                warn!(%server, "decisions asked for a probe; this balancer sends none")
+                debug!(%server, "probe");
+                let duty = Duty::new(self.mailbox.clone(), server.clone());
+                command(&server, app_server::Command::Probe(duty));
             }
             Output::Defect { defect, request } => {
                 error!(transaction = %request, "defect: {defect}; it was not carried out");
--- a/daemon/src/mail.rs
+++ b/daemon/src/mail.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use gradepaddle::{Id, ListKind, Server};
+use gradepaddle::{Id, ListKind, LoadReport, Server};
 use gradepaddle_dispatch::{Cause, Extent, Input, Ticket};
 use tokio::sync::{mpsc, oneshot};
 
@@ -67,8 +67,20 @@
     }
 
     /// Tells how an attempt ended.
-    pub fn ended(&self, ticket: Ticket, attempt: u32, extent: Extent, cause: Cause, reply: Option<Reply>) {
-        self.send(Mail::Input(Input::Ended { ticket, attempt, extent, cause, reply }));
+    pub fn ended(
+        &self,
+        ticket: Ticket,
+        attempt: u32,
+        extent: Extent,
+        cause: Cause,
+        (reply, report): (Option<Reply>, Option<LoadReport>),
+    ) {
+        self.send(Mail::Input(Input::Ended { ticket, attempt, extent, cause, reply, report }));
+    }
+
+    /// Tells how a probe ended.
+    pub fn probed(&self, server: Id, cause: Cause, report: Option<LoadReport>) {
+        self.send(Mail::Input(Input::Probed { server, cause, report }));
     }
 
     /// Tells that an attempt has used up what cannot be had again.
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -16,6 +16,7 @@
 mod mail;
 mod pace;
 mod phase;
+mod probe;
 mod routed_task;
 mod service_table;
 mod sockets;
@@ -160,6 +161,7 @@
         budget: budget.clone(),
         dial_timeout: Duration::from_micros(config.deployment.dial_timeout),
         conn_idle: config.deployment.conn_idle,
+        reports: config.deployment.reports,
     });
     let limits = Limits { grace: config.deployment.drain_grace, ..Limits::default() };
     let dispatch = Dispatch::new(balancer, &config.deployment.settings, &config.name, limits);
--- a/daemon/src/routed_task.rs
+++ b/daemon/src/routed_task.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gradepaddle::Micros;
+use gradepaddle::{LoadReport, Micros};
 use gradepaddle_dispatch::{Cause, Extent, Ticket};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
@@ -34,6 +34,8 @@
     pub dial_timeout: Duration,
     /// App servers close connections idle for this long.
     pub conn_idle: Micros,
+    /// App servers report their load.
+    pub reports: bool,
 }
 
 /// What holds of an app server at this moment.
@@ -83,13 +85,13 @@
     }
 
     /// Tells the end.
-    fn tell(mut self, extent: Extent, cause: Cause, reply: Option<Reply>) {
-        self.send(extent, cause, reply);
+    fn tell(mut self, extent: Extent, cause: Cause, told: (Option<Reply>, Option<LoadReport>)) {
+        self.send(extent, cause, told);
     }
 
-    fn send(&mut self, extent: Extent, cause: Cause, reply: Option<Reply>) {
+    fn send(&mut self, extent: Extent, cause: Cause, told: (Option<Reply>, Option<LoadReport>)) {
         if let Some(ticket) = self.ticket.take() {
-            self.decision.ended(ticket, self.attempt, extent, cause, reply);
+            self.decision.ended(ticket, self.attempt, extent, cause, told);
         }
     }
 }
@@ -98,10 +100,10 @@
     fn drop(&mut self) {
         if self.unbegun {
             // No actor took it: its app server was forgotten.
-            self.send(Extent::Nothing, Cause::NotTried, None);
+            self.send(Extent::Nothing, Cause::NotTried, (None, None));
         } else {
             // A panic, and nobody knows how far it had come.
-            self.send(Extent::Whole, Cause::Broke, None);
+            self.send(Extent::Whole, Cause::Broke, (None, None));
         }
     }
 }
@@ -145,19 +147,20 @@
         // If the actor has just ended, the connection closes here.
         let _ = parking.send(connection);
     }
-    report.tell(progress.extent.get(), end.cause, end.reply);
+    report.tell(progress.extent.get(), end.cause, (end.reply, end.report));
 }
 
 /// How an attempt ended, with what is left of it.
 struct End {
     cause: Cause,
     reply: Option<Reply>,
+    report: Option<LoadReport>,
     connection: Option<Connection>,
 }
 
 impl End {
     fn of(cause: Cause) -> Self {
-        End { cause, reply: None, connection: None }
+        End { cause, reply: None, report: None, connection: None }
     }
 }
 
@@ -228,18 +231,19 @@
             // A refusal says that trying again is harmless, whoever words it, so an app server's is never
             // passed on: here the request may have run.
             let passes = cause != Cause::Unprocessed && !matches!(head.status(), Ok(429 | 503));
+            let load = head.get("x-backend-load").filter(|_| context.reports).and_then(LoadReport::read);
             match rest {
                 None => {
                     let connection = Some(connection).filter(|one| usable && !one.has_input());
                     let reply = passes.then(|| Reply::Http(http::Answer { head, body, flow: None }));
-                    End { cause, reply, connection }
+                    End { cause, reply, report: load, connection }
                 }
                 Some((rest, framing)) => {
                     let usable = usable && framing != Framing::UntilClose;
                     let parking = usable.then(|| parking.clone());
                     let flow = Some(Box::new(http::Flow { connection, body: rest, framing, parking }));
                     let reply = passes.then(|| Reply::Http(http::Answer { head, body, flow }));
-                    End { cause, reply, connection: None }
+                    End { cause, reply, report: load, connection: None }
                 }
             }
         }
--- a/daemon/src/terminal.rs
+++ b/daemon/src/terminal.rs
@@ -322,8 +322,11 @@
         }
     };
     let key = head.all("cookie").find_map(cookie);
+    // A guess that is no guess changes nothing: the request is served like one without.
+    let hint = head.get("x-weight-hint").and_then(|text| text.trim().parse().ok());
+    let hint = hint.filter(|work: &f64| work.is_finite() && *work >= 1.0).map(|work| work as Micros);
     let message = Rc::new(Message::Http(request));
-    Ok(Transaction { own, class, tenant, key, arrived, time_left, whole, message })
+    Ok(Transaction { own, class, tenant, key, hint, arrived, time_left, whole, message })
 }
 
 /// The cookie `user` of a cookie header.
--- a/daemon/tests/network/main.rs
+++ b/daemon/tests/network/main.rs
@@ -2,6 +2,7 @@
 
 mod flow;
 mod operators;
+mod probes;
 mod replaced;
 mod rig;
 
--- a/daemon/tests/network/rig.rs
+++ b/daemon/tests/network/rig.rs
@@ -33,6 +33,7 @@
     pub servers: Vec<TcpListener>,
     pub discovery: TcpListener,
     sockets: u32,
+    settings: String,
     /// The clients' socket, where the platform holds it, and the folder that all processes share.
     pub socket: Option<TcpListener>,
     pub shared: PathBuf,
@@ -175,38 +176,44 @@
     }
 
     pub fn with(count: u8, sockets: u32) -> Rig {
-        Self::new(count, sockets, false, false)
+        Self::new(count, sockets, false, false, SETTINGS)
+    }
+
+    /// Under other settings, with each attempt and probe in the log.
+    pub fn under(count: u8, settings: &str) -> Rig {
+        Self::new(count, 1024, false, false, settings)
     }
 
     /// With an operators' door.
     pub fn with_door(count: u8) -> Rig {
-        Self::new(count, 1024, true, false)
+        Self::new(count, 1024, true, false, SETTINGS)
     }
 
     /// With a door, and the clients' socket held by the platform.
     pub fn on_platform(count: u8, sockets: u32) -> Rig {
-        Self::new(count, sockets, true, true)
+        Self::new(count, sockets, true, true, SETTINGS)
     }
 
-    fn new(count: u8, sockets: u32, has_door: bool, inherits: bool) -> Rig {
+    fn new(count: u8, sockets: u32, has_door: bool, inherits: bool, settings: &str) -> Rig {
         let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
         let servers: Vec<_> = (0..count).map(|_| bind()).collect();
         let discovery = bind();
         let socket = inherits.then(bind);
         let shared = folder();
         let (command, folder) =
-            Self::command(&servers, &discovery, sockets, has_door, socket.as_ref(), &shared);
+            Self::command(&servers, &discovery, sockets, has_door, socket.as_ref(), &shared, settings);
         let daemon = Daemon::start(command, folder, has_door);
         if count > 0 {
             daemon.logged(" ready ");
         }
-        Rig { daemon, servers, discovery, sockets, socket, shared }
+        Rig { daemon, servers, discovery, sockets, settings: settings.to_owned(), socket, shared }
     }
 
     /// One more process of the same balancer; it listens, but may not be ready.
     pub fn beside(&self) -> Daemon {
-        let Rig { servers, discovery, sockets, socket, shared, .. } = self;
-        let (command, folder) = Self::command(servers, discovery, *sockets, true, socket.as_ref(), shared);
+        let Rig { servers, discovery, sockets, socket, shared, settings, .. } = self;
+        let (command, folder) =
+            Self::command(servers, discovery, *sockets, true, socket.as_ref(), shared, settings);
         Daemon::start(command, folder, true)
     }
 
@@ -217,19 +224,23 @@
         has_door: bool,
         socket: Option<&TcpListener>,
         shared: &Path,
+        settings: &str,
     ) -> (Command, PathBuf) {
         let hosts: Vec<_> =
             servers.iter().zip('a'..).map(|(s, id)| host(&id.to_string(), local(s), "up")).collect();
         let listen = socket.map_or("127.0.0.1:0".to_owned(), |socket| local(socket).to_string());
         let config = format!(
             r#"{{"name":"n","listen":"{listen}","discovery":"{}","seed":"1f","limits":{{"sockets":{sockets}}},
-            "known":{{"seq":7,"whole":true,"hosts":[{}]}},"settings":{SETTINGS}}}"#,
+            "known":{{"seq":7,"whole":true,"hosts":[{}]}},"settings":{settings}}}"#,
             local(discovery),
             hosts.join(",")
         );
         let (mut command, folder) = program(&config);
         // As on the platform, the variable says at the start what the file says.
         command.env("RELAY_DISCOVERY", local(discovery).to_string()).env("TMPDIR", shared);
+        if settings != SETTINGS {
+            command.env("GRADEPADDLE_LOG", "debug");
+        }
         if has_door {
             command.env("RELAY_ADMIN_ADDR", "127.0.0.1:0");
         }
--- a/dispatch/benches/dispatch.rs
+++ b/dispatch/benches/dispatch.rs
@@ -61,6 +61,7 @@
             class: 0,
             tenant: None,
             key: Some(format!("key{}", self.ticket % 500)),
+            hint: None,
             arrived: self.now,
             time_left: 24 * HOUR,
             whole: true,
@@ -84,7 +85,7 @@
         self.now += 50;
         self.out.clear();
         let (extent, cause, reply) = (Extent::Whole, Cause::Served, Some(ticket));
-        let ended = Input::Ended { ticket, attempt: 0, extent, cause, reply };
+        let ended = Input::Ended { ticket, attempt: 0, extent, cause, reply, report: None };
         self.dispatch.handle(self.now, ended, &mut self.out);
         black_box(&self.out);
     }
--- a/dispatch/src/attempt.rs
+++ b/dispatch/src/attempt.rs
@@ -43,6 +43,22 @@
     Withdrawn,
 }
 
+/// What the decisions are told of a probe that ended. It asks for nothing that could run twice, so how far it was
+/// written does not matter; an answer of any kind shows that the process is there.
+pub fn probed(cause: Cause) -> Outcome {
+    match cause {
+        Cause::Served => Outcome::Ok,
+        Cause::Denied => Outcome::Denied,
+        Cause::Failed | Cause::Spoilt => Outcome::Error,
+        Cause::Unprocessed => Outcome::Full,
+        Cause::NoConnection => Outcome::ConnectFailed,
+        Cause::Broke => Outcome::Reset,
+        Cause::OutOfTime => Outcome::TimedOut,
+        Cause::Withdrawn => Outcome::Cancelled,
+        Cause::Closed | Cause::NotTried => Outcome::Moot,
+    }
+}
+
 /// What the decisions are told of an attempt that ended: whether it can have run follows from how far it
 /// was written, never from the cause alone. Causes that claim an earlier end than the extent allows are
 /// taken for a break, which is the worst that fits.
--- a/dispatch/src/dispatch.rs
+++ b/dispatch/src/dispatch.rs
@@ -4,9 +4,11 @@
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
-use gradepaddle::{Action, Arrival, Ended, Event, Id, ListKind, Micros, Outcome, Server, Settings, State};
+use gradepaddle::{
+    Action, Arrival, Ended, Event, Id, ListKind, LoadReport, Micros, Outcome, Server, Settings, State,
+};
 
-use crate::attempt::{Attempt, Cause, Extent};
+use crate::attempt::{Attempt, Cause, Extent, probed};
 use crate::chooser::Chooser;
 use crate::fleet::Fleet;
 use crate::guard::{Defect, Defects, Guard, Rulebook, Rules};
@@ -39,6 +41,8 @@
     Moot { ticket: Ticket, attempt: u32 },
     /// A transaction was ended without the chooser.
     Left { ticket: Ticket },
+    /// A probe that the chooser waits for was not made.
+    Unprobed { server: Id },
 }
 
 /// Echoes that one input may cause. A chooser that answers each with another action is cut off here: the
@@ -61,6 +65,8 @@
     wakes: BTreeSet<Micros>,
     /// When each open transaction is to be looked at, whatever the chooser does.
     dues: BTreeSet<(Micros, Ticket)>,
+    /// The probes that are out, and since when.
+    probes: BTreeMap<Id, Micros>,
     defects: Defects,
     /// Kept for its memory between inputs.
     actions: Vec<Action>,
@@ -87,6 +93,7 @@
             own: BTreeSet::new(),
             wakes: BTreeSet::new(),
             dues: BTreeSet::new(),
+            probes: BTreeMap::new(),
             defects: Defects::default(),
             actions: Vec::new(),
         }
@@ -117,8 +124,16 @@
                     of.extent = of.extent.max(extent);
                 }
             }
-            Input::Ended { ticket, attempt, extent, cause, reply } => {
-                self.ended(now, ticket, attempt, extent, cause, reply, &mut echoes, out);
+            Input::Ended { ticket, attempt, extent, cause, reply, report } => {
+                self.ended(now, ticket, attempt, extent, cause, (reply, report), &mut echoes, out);
+            }
+            Input::Probed { server, cause, report } => {
+                // Told twice, or of none that was sent: it says nothing.
+                if let Some(since) = self.probes.remove(&server) {
+                    let took = now.saturating_sub(since);
+                    let event = Event::Probed { server: &server, outcome: probed(cause), took, report };
+                    self.decide(now, event, &mut echoes, out);
+                }
             }
             Input::List { kind, servers } => self.list(now, kind, servers, &mut echoes, out),
             Input::Ban { server, out: is_out } => self.ban(now, server, is_out, &mut echoes, out),
@@ -136,6 +151,11 @@
                     self.decide(now, Event::Ended(ended), &mut echoes, out);
                     self.settle(ticket);
                 }
+                Echo::Unprobed { server } => {
+                    let (outcome, took) = (Outcome::Moot, 0);
+                    let event = Event::Probed { server: &server, outcome, took, report: None };
+                    self.decide(now, event, &mut echoes, out);
+                }
             }
         }
     }
@@ -199,7 +219,7 @@
         echoes: &mut VecDeque<Echo>,
         out: &mut Vec<Output<M, R>>,
     ) {
-        let Transaction { own, class, tenant, key, arrived, time_left, whole, message } = transaction;
+        let Transaction { own, class, tenant, key, hint, arrived, time_left, whole, message } = transaction;
         if !self.own.insert(own.clone()) {
             // App servers know requests by their clients' ids: two at once could get each other's answers,
             // and the second would look like a copy of the first.
@@ -228,7 +248,8 @@
         self.dues.insert((due, ticket));
         // What still comes is expected soon: of a client that stops amid it, the shell tells.
         let ttl = arrived.saturating_add(time_left).saturating_sub(now);
-        let arrival = Arrival { id, class, tenant, ttl, hint: None, key: key.as_deref() };
+        let hint = hint.map(|work| work as f64);
+        let arrival = Arrival { id, class, tenant, ttl, hint, key: key.as_deref() };
         self.decide(now, Event::Request(arrival), echoes, out);
         self.settle(ticket);
     }
@@ -251,7 +272,7 @@
         attempt: u32,
         extent: Extent,
         cause: Cause,
-        reply: Option<R>,
+        (reply, report): (Option<R>, Option<LoadReport>),
         echoes: &mut VecDeque<Echo>,
         out: &mut Vec<Output<M, R>>,
     ) {
@@ -280,7 +301,7 @@
             (_, reply) => open.reply = reply,
         }
         let (id, closed) = (open.id.clone(), !open.owed);
-        let ended = Ended { request: &id, attempt, outcome, took, closed, report: None };
+        let ended = Ended { request: &id, attempt, outcome, took, closed, report };
         self.decide(now, Event::Ended(ended), echoes, out);
         self.settle(ticket);
     }
@@ -306,6 +327,7 @@
         }
         self.decide(now, Event::List { kind, servers }, echoes, out);
         for server in changes.forgotten {
+            self.probes.remove(&server);
             out.push(Output::Forgotten { server });
         }
     }
@@ -453,7 +475,7 @@
             Action::DropIdle { server } => out.push(Output::DropIdle { server }),
             Action::Subscribe => out.push(Output::Watch),
             Action::Log { text } => out.push(Output::Log { text }),
-            Action::Probe { server } => out.push(Output::Probe { server }),
+            Action::Probe { server } => self.probe(now, server, echoes, out),
         }
     }
 
@@ -500,6 +522,23 @@
         }
     }
 
+    /// One probe at a time goes to an app server. One whose end the shell never tells counts for as long as an
+    /// attempt would.
+    fn probe(&mut self, now: Micros, server: Id, echoes: &mut VecDeque<Echo>, out: &mut Vec<Output<M, R>>) {
+        let out_now = self.probes.get(&server).is_some_and(|since| now < since + self.limits.reap);
+        let defect = self.rulebook.probe(self.fleet.standing(&server));
+        let defect = defect.filter(|defect| self.guard.forbids(*defect));
+        if let Some(defect) = defect {
+            self.found(defect, server.clone(), out);
+        }
+        if out_now || defect.is_some() {
+            echoes.push_back(Echo::Unprobed { server });
+            return;
+        }
+        self.probes.insert(server.clone(), now);
+        out.push(Output::Probe { server });
+    }
+
     fn refuse(
         &mut self,
         request: Id,
@@ -581,6 +620,7 @@
             && self.own == other.own
             && self.wakes == other.wakes
             && self.dues == other.dues
+            && self.probes == other.probes
     }
 }
 
@@ -594,5 +634,6 @@
         self.own.hash(state);
         self.wakes.hash(state);
         self.dues.hash(state);
+        self.probes.hash(state);
     }
 }
--- a/dispatch/src/guard.rs
+++ b/dispatch/src/guard.rs
@@ -37,11 +37,13 @@
     Unanswered,
     /// An attempt whose end was not told long after its time.
     NeverEnded,
+    /// A probe of an app server that may be sent nothing, or where the settings allow none.
+    Unprobeable,
 }
 
 impl Defect {
     /// All kinds, in the order of their counts.
-    pub const ALL: [Defect; 12] = [
+    pub const ALL: [Defect; 13] = [
         Defect::RepeatedUnsafe,
         Defect::SecondCopy,
         Defect::TooManyAttempts,
@@ -54,6 +56,7 @@
         Defect::SecondAnswer,
         Defect::Unanswered,
         Defect::NeverEnded,
+        Defect::Unprobeable,
     ];
 }
 
@@ -72,6 +75,7 @@
             Defect::SecondAnswer => "a second final answer",
             Defect::Unanswered => "no final answer by the deadline",
             Defect::NeverEnded => "an attempt that never ended",
+            Defect::Unprobeable => "a probe where none may be sent",
         })
     }
 }
@@ -136,6 +140,7 @@
     second_copies: bool,
     /// Running attempts may be withdrawn.
     pub cancel: bool,
+    probes: bool,
     grace: Micros,
 }
 
@@ -146,6 +151,7 @@
             max_attempts: settings.max_attempts as usize,
             second_copies: settings.second_copies,
             cancel: settings.cancel,
+            probes: settings.probes,
             grace: limits.grace,
         }
     }
@@ -194,6 +200,12 @@
         None
     }
 
+    /// The rule that a probe of this app server would break, if any. Unlike an attempt it has no grace: nobody
+    /// waits for it.
+    pub fn probe(&self, standing: Option<Standing>) -> Option<Defect> {
+        (!self.probes || standing != Some(Standing::Open)).then_some(Defect::Unprobeable)
+    }
+
     /// True if a refusal would promise what is not known.
     pub fn refusal_lies<M, R>(&self, open: &Open<M, R>) -> bool {
         let harmless = matches!(
--- a/dispatch/src/io.rs
+++ b/dispatch/src/io.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gradepaddle::{Id, ListKind, Micros, Server};
+use gradepaddle::{Id, ListKind, LoadReport, Micros, Server};
 
 use crate::attempt::{Cause, Extent};
 use crate::guard::Defect;
@@ -22,6 +22,8 @@
     pub tenant: Option<usize>,
     /// What it is about.
     pub key: Option<String>,
+    /// Its client's guess at the work, on a standard core.
+    pub hint: Option<Micros>,
     /// When its last byte had come, or when it was taken.
     pub arrived: Micros,
     /// How long the client waits from its last byte on.
@@ -113,6 +115,17 @@
         cause: Cause,
         /// What the app server said, as far as it may be passed on.
         reply: Option<R>,
+        /// The load report that came along.
+        report: Option<LoadReport>,
+    },
+    /// A probe has ended. Each one that was started is to end exactly once.
+    Probed {
+        /// The app server.
+        server: Id,
+        /// What ended it; [`Cause::Denied`] if the app server has nothing to be probed at.
+        cause: Cause,
+        /// The load report that came along.
+        report: Option<LoadReport>,
     },
     /// The service table, or changes of it.
     List {
@@ -182,7 +195,7 @@
     },
     /// Watch the service table's source.
     Watch,
-    /// Probe an app server.
+    /// Probe an app server. One is out at each at most.
     Probe {
         /// The app server.
         server: Id,
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -21,7 +21,7 @@
 //! };
 //! dispatch.handle(0, Input::List { kind: ListKind::Full, servers: vec![server] }, &mut out);
 //! let transaction = Transaction {
-//!     own: (*b"c1").into(), class: 0, tenant: None, key: None, arrived: 10, time_left: 500_000, whole: true,
+//!     own: (*b"c1").into(), class: 0, tenant: None, key: None, hint: None, arrived: 10, time_left: 500_000, whole: true,
 //!     message: "GET /",
 //! };
 //! out.clear();
@@ -29,7 +29,7 @@
 //! assert!(out.iter().any(|o| matches!(o, Output::Start { ticket: 1, attempt: 0, message: "GET /", .. })));
 //! out.clear();
 //! let ended = Input::Ended {
-//!     ticket: 1, attempt: 0, extent: Extent::Whole, cause: Cause::Served, reply: Some("yes"),
+//!     ticket: 1, attempt: 0, extent: Extent::Whole, cause: Cause::Served, reply: Some("yes"), report: None,
 //! };
 //! dispatch.handle(900, ended, &mut out);
 //! assert!(out.contains(&Output::Answer { ticket: 1, answer: FinalAnswer::Served("yes") }));
--- a/dispatch/tests/hard_cases.rs
+++ b/dispatch/tests/hard_cases.rs
@@ -8,6 +8,7 @@
 struct Script {
     planned: Vec<Action>,
     told: Vec<(u32, Outcome, bool)>,
+    probed: Vec<(Outcome, Micros)>,
     left: usize,
 }
 
@@ -16,6 +17,7 @@
         match event {
             Event::Ended(ended) => self.told.push((ended.attempt, ended.outcome, ended.closed)),
             Event::Left { .. } => self.left += 1,
+            Event::Probed { outcome, took, .. } => self.probed.push((outcome, took)),
             _ => {}
         }
         out.append(&mut self.planned);
@@ -74,6 +76,7 @@
             class,
             tenant: None,
             key: None,
+            hint: None,
             arrived,
             time_left,
             whole: true,
@@ -95,7 +98,7 @@
 
     fn end(&mut self, ticket: Ticket, attempt: u32, extent: Extent, cause: Cause) -> Outputs {
         let reply = matches!(cause, Cause::Served | Cause::Failed).then_some("r");
-        self.tell(Input::Ended { ticket, attempt, extent, cause, reply })
+        self.tell(Input::Ended { ticket, attempt, extent, cause, reply, report: None })
     }
 
     fn told(&mut self) -> Vec<(u32, Outcome, bool)> {
@@ -382,6 +385,7 @@
             class: 0,
             tenant: None,
             key: None,
+            hint: None,
             arrived: now,
             time_left: 4_000_000,
             whole: true,
@@ -392,7 +396,11 @@
         let started = out.iter().any(|output| matches!(output, Output::Start { .. }));
         if started {
             let (extent, cause, reply) = (Extent::Whole, Cause::Served, Some(ticket));
-            dispatch.handle(now + 900, Input::Ended { ticket, attempt: 0, extent, cause, reply }, &mut out);
+            dispatch.handle(
+                now + 900,
+                Input::Ended { ticket, attempt: 0, extent, cause, reply, report: None },
+                &mut out,
+            );
         }
         served += u64::from(started);
         assert_eq!(dispatch.len(), 0);
@@ -411,3 +419,40 @@
         .sum();
     assert_eq!((named, bench.dispatch.defects().count(Defect::SecondAnswer)), (1, 3));
 }
+
+/// Guards app servers against probes that nobody may send them, or more than one at a time, and the chooser
+/// against a probe of which it never hears again.
+#[test]
+fn a_probe_goes_only_to_an_open_server_one_at_a_time_and_always_ends() {
+    let mut bench = Bench::with(Settings { probes: true, ..settings() });
+    let probe = |bench: &mut Bench| {
+        let out = bench.choose(Action::Probe { server: "a".into() });
+        out.contains(&Output::Probe { server: "a".into() })
+    };
+    let ended = |bench: &mut Bench, cause| {
+        bench.tell(Input::Probed { server: "a".into(), cause, report: None });
+        std::mem::take(&mut bench.dispatch.chooser_mut().probed)
+    };
+    assert!(probe(&mut bench) && !probe(&mut bench), "one is out");
+    bench.now = 7;
+    assert_eq!(ended(&mut bench, Cause::Denied), [(Outcome::Moot, 0), (Outcome::Denied, 7)]);
+    assert!(ended(&mut bench, Cause::Served).is_empty(), "it has ended already");
+    assert!(probe(&mut bench));
+    bench.now = 7 + 50;
+    assert!(probe(&mut bench), "one whose end was never told does not stay out for ever");
+    ended(&mut bench, Cause::OutOfTime);
+    assert_eq!(bench.dispatch.defects().total(), 0);
+    let told = |state| vec![server("a", state)];
+    bench.list(ListKind::Delta, told(State::Draining));
+    assert!(!probe(&mut bench), "it drains, and the grace is not for probes");
+    bench.list(ListKind::Delta, told(State::Ready));
+    bench.tell(Input::Ban { server: "a".into(), out: true });
+    assert!(!probe(&mut bench), "it is out");
+    bench.tell(Input::Ban { server: "a".into(), out: false });
+    assert!(probe(&mut bench));
+    let mut forbidden = Bench::new();
+    assert!(!probe(&mut forbidden) && forbidden.dispatch.chooser().probed == [(Outcome::Moot, 0)]);
+    for (bench, defects) in [(bench, 2), (forbidden, 1)] {
+        assert_eq!(bench.dispatch.defects().count(Defect::Unprobeable), defects);
+    }
+}
--- a/emulator/src/balancer.rs
+++ b/emulator/src/balancer.rs
@@ -283,6 +283,7 @@
             class: quest.counted.class as usize,
             tenant: Some(quest.counted.branch as usize),
             key: Some(format!("k{}", quest.key)),
+            hint: None,
             arrived: now,
             time_left: gives_up.saturating_sub(now),
             whole: true,
@@ -401,7 +402,7 @@
                 // So far behind that it is not even begun.
                 let (extent, cause, ticket) = (Extent::Nothing, Cause::NotTried, key.data().as_ffi());
                 let _ = server;
-                inputs.push(Input::Ended { ticket, attempt, extent, cause, reply: None });
+                inputs.push(Input::Ended { ticket, attempt, extent, cause, reply: None, report: None });
             }
             Output::Start { attempt, server, message, until, .. } => {
                 let server = crate::policy::number(&server).unwrap_or(u32::MAX);
@@ -418,6 +419,7 @@
                         extent,
                         cause: Cause::Withdrawn,
                         reply: None,
+                        report: None,
                     });
                 }
             }
@@ -442,7 +444,7 @@
                 for (key, ticket, attempt) in unwritten {
                     self.give_over(key);
                     let (extent, cause) = (Extent::Nothing, Cause::Closed);
-                    inputs.push(Input::Ended { ticket, attempt, extent, cause, reply: None });
+                    inputs.push(Input::Ended { ticket, attempt, extent, cause, reply: None, report: None });
                 }
             }
             Output::DropIdle { server } => {
@@ -635,7 +637,7 @@
         self.judge.note(serial, self.now, || format!("b{number} hears from s{server}: {cause:?}"));
         self.remove(key);
         let reply = (cause == Cause::Served).then_some(());
-        self.tell(number, Input::Ended { ticket, attempt, extent, cause, reply });
+        self.tell(number, Input::Ended { ticket, attempt, extent, cause, reply, report: None });
     }
 
     /// An attempt's time is up.
@@ -648,7 +650,7 @@
             .note(serial, self.now, || format!("b{number} gives attempt {attempt} up, written: {extent:?}"));
         self.give_over(key);
         let (cause, reply) = (Cause::OutOfTime, None);
-        self.tell(number, Input::Ended { ticket, attempt, extent, cause, reply });
+        self.tell(number, Input::Ended { ticket, attempt, extent, cause, reply, report: None });
     }
 
     /// Its balancer has no more use for an attempt. Its connection closes; the app server may work on.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::api::*;
+use crate::probing::UNPROBED;
 use crate::state::*;
 
 /// L_idle as a share of the time that a request has for waiting: below it a wait is not felt.
@@ -20,8 +21,6 @@
 const PATIENCE: [f64; 2] = [0.2, 0.6];
 /// Weight of a new observation in the running estimates.
 const LEARN: f64 = 1.0 / 16.0;
-/// The shortest idle time of a connection that is told apart; the next ones double it.
-const GAP: Micros = 100_000;
 /// How many mean observations a server's own stand beside, and how long they count (half-life).
 const PRIOR: f64 = 2.0;
 const RECENT: f64 = 2e6;
@@ -53,7 +52,7 @@
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SAVED: f64 = 10.0;
 /// One that does not answer is tried again after this, then later; once dropped, forgotten after that.
-const TRIAL: Micros = 500_000;
+pub(crate) const TRIAL: Micros = 500_000;
 const FORGET: Micros = 60_000_000;
 /// The shortest pause that a refused client is told.
 const LEAST_PAUSE: Micros = 50_000;
@@ -107,11 +106,7 @@
                 }
             }
             Event::Wake => self.wake(now, out),
-            Event::Probed { server, outcome, .. } => {
-                if let Some(server) = self.names.get(server).copied() {
-                    self.heed(now, server, matches!(outcome, Outcome::Ok | Outcome::Full));
-                }
-            }
+            Event::Probed { server, outcome, .. } => self.probed(now, server, outcome),
         }
         if self.ask_at <= now {
             out.push(Action::Subscribe);
@@ -225,7 +220,7 @@
     /// draining, and fails to answer is no capacity and no key's home until a probe, or one request at
     /// growing intervals, is answered. Also catches an old list after a restart and new servers not up
     /// yet. Harm: one with a full table at the first attempt waits a little for the second.
-    fn sort(&mut self) {
+    pub(crate) fn sort(&mut self) {
         let state = |s: &usize| (self.servers[*s].state == State::Ready).then_some(self.servers[*s].proven);
         self.ready = (0..self.servers.len()).filter(|s| state(s) == Some(true)).collect();
         self.trial = (0..self.servers.len()).filter(|s| state(s) == Some(false)).collect();
@@ -236,14 +231,14 @@
         for (open, class) in self.open.iter_mut().zip(&self.settings.classes) {
             let fits = |s: &usize| class.open_to(self.servers[*s].zone, self.servers[*s].kind);
             *open = self.ready.iter().copied().filter(fits).collect();
-            if open.is_empty() || !self.settings.probes {
-                open.extend(self.trial.iter().copied().filter(fits));
-                open.sort_unstable();
-            }
+            let tried = |s: &usize| !self.settings.probes || self.servers[*s].doubt >= UNPROBED;
+            let all = open.is_empty();
+            open.extend(self.trial.iter().copied().filter(|s| fits(s) && (all || tried(s))));
+            open.sort_unstable();
         }
     }
 
-    fn heed(&mut self, now: Micros, server: usize, answered: bool) {
+    pub(crate) fn heed(&mut self, now: Micros, server: usize, answered: bool) {
         let peer = &mut self.servers[server];
         let was = peer.proven;
         if answered {
@@ -873,17 +868,7 @@
             _ => {}
         }
         let usual = 2.0 * self.classes[r.class].typical;
-        let unanswered = match outcome {
-            Outcome::TimedOut | Outcome::Reset => Some(1),
-            Outcome::Cancelled if took > usual => Some(1),
-            Outcome::Ok => Some(0),
-            _ => None,
-        };
-        if let Some(which) = unanswered {
-            let bucket =
-                (gap / GAP).checked_ilog2().map_or(0, |i| i as usize + 1).min(self.tally.gaps.len() - 1);
-            self.tally.gaps[bucket][which] += 1.0;
-        }
+        self.tally.note_gap(gap, outcome, took > usual);
         let seen = &mut self.classes[r.class];
         peer.faults.resize(self.settings.classes.len(), 0.0);
         peer.errors.resize(self.settings.classes.len(), 0);
@@ -1022,15 +1007,7 @@
             *mean = open.iter().map(|s| self.briefs[*s].wait).sum::<f64>() / open.len().max(1) as f64;
         }
         self.weigh();
-        if self.settings.probes {
-            for &s in &self.trial {
-                let peer = &mut self.servers[s];
-                if peer.trial <= now {
-                    peer.trial = now + (TRIAL << peer.doubt.min(4));
-                    out.push(Action::Probe { server: peer.id.clone() });
-                }
-            }
-        }
+        self.probe(now, out);
         self.drop_idle(now, span as f64, out);
         let recent = (-(span as f64) / RECENT).exp2();
         if self.tally.all[1] > 0.0 {
@@ -1046,32 +1023,6 @@
         }
     }
 
-    /// Closes connections idle for longer than they are worth. By the prices, keeping one open for `even`
-    /// costs as much as a new one, so it is kept only where the next request is likely to come sooner; and
-    /// connections that prove dead (what is sent after some gap gets no answer, by and large) are closed
-    /// before that gap. Guards against hundreds of gateways that hold one at every server, full tables,
-    /// connections dropped unseen. Harm: handshakes, where losses have another cause; it is forgotten.
-    fn drop_idle(&mut self, now: Micros, span: f64, out: &mut Vec<Action>) {
-        let s = &self.settings;
-        let fade = (-span / KEPT).exp2();
-        self.tally.gaps = self.tally.gaps.map(|gap| gap.map(|n| n * fade));
-        let dead = |[ok, lost]: &[f64; 2]| *lost >= 2.0 && *lost > *ok;
-        let dead = self.tally.gaps.iter().skip(1).position(dead).map_or(Micros::MAX, |i| GAP << i);
-        let here = self.tally.offered / self.tally.mean_work.max(1.0) * 1e6;
-        let all = (here * f64::from(s.gateways)).max(1e-9);
-        let even = 100.0 * self.ready.len() as f64 * s.handshake_price / (s.connection_price * all);
-        for &i in &self.ready {
-            let peer = &mut self.servers[i];
-            let Some(since) = peer.idle else { continue };
-            let likely = here * peer.relative / self.ready.len() as f64 * even;
-            let worth = if likely < 1.0 { (likely * even * 1e6) as Micros } else { Micros::MAX };
-            if now - since >= worth.min(dead) {
-                peer.idle = None;
-                out.push(Action::DropIdle { server: peer.id.clone() });
-            }
-        }
-    }
-
     /// Brings a key's set into the young half of the table; when that is full, the old is forgotten.
     fn recall(&mut self, now: Micros, key: u64) {
         if !self.young.contains_key(&key)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,9 @@
 
 mod api;
 mod choice;
+mod keeping;
+mod probing;
+mod report;
 pub mod settings;
 mod state;
 pub mod wire;
--- /dev/null
+++ b/src/report.rs
@@ -0,0 +1,61 @@
+//! Load reports as app servers write them on sockets. No decisions here.
+
+use crate::api::LoadReport;
+
+/// The most fields that are looked at: a report names four at most, and more is none.
+const MOST: usize = 32;
+
+impl LoadReport {
+    /// Reads `name=value,name=value`, each name as in the settings or as on the simulator's wire. Names that are
+    /// not known are skipped. A value that is no number, negative or without end makes the whole report
+    /// worthless: nothing tells which of its figures still mean something.
+    pub fn read(text: &str) -> Option<LoadReport> {
+        let mut report = LoadReport::default();
+        let fields: Vec<&str> = text.split(',').map(str::trim).filter(|field| !field.is_empty()).collect();
+        if fields.is_empty() || fields.len() > MOST {
+            return None;
+        }
+        for field in fields {
+            let (name, value) = field.split_once('=')?;
+            let value: f64 = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0)?;
+            let known = match name.trim() {
+                "inflight" | "concurrent" => &mut report.in_flight,
+                "queue" | "depth" => &mut report.queue,
+                "latency_ms" | "mean_ms" => {
+                    report.service = Some(value * 1000.0);
+                    continue;
+                }
+                "eps" | "err_ps" => &mut report.errors,
+                _ => continue,
+            };
+            *known = Some(value);
+        }
+        Some(report)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against figures taken from a report that is torn or made up, and names that get lost.
+    #[test]
+    fn a_report_is_read_whole_or_not_at_all() {
+        let read = LoadReport::read;
+        let report =
+            LoadReport { in_flight: Some(7.0), queue: Some(2.5), service: Some(1500.0), errors: Some(0.0) };
+        for text in [
+            "inflight=7,queue=2.5,latency_ms=1.5,eps=0,util=0.61",
+            " concurrent = 7 , depth=2.5,mean_ms=1.5,err_ps=0,tps=9\r\n",
+        ] {
+            assert_eq!(read(text), Some(report), "{text}");
+        }
+        assert_eq!(read("util=0.5"), Some(LoadReport::default()), "nothing of use, but a report");
+        for text in
+            ["", "queue", "queue=", "queue=-1", "queue=NaN", "queue=inf", "queue=2,load", "{\"queue\":1}"]
+        {
+            assert_eq!(read(text), None, "{text}");
+        }
+        assert_eq!(read(&"queue=1,".repeat(99)), None);
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -35,6 +35,8 @@
     tick_ms: f64,
     #[serde(default)]
     value_by: String,
+    #[serde(default)]
+    report: Report,
 }
 
 pub(crate) fn one() -> f64 {
@@ -93,6 +95,12 @@
     warm_keys: bool,
 }
 
+#[derive(Deserialize, Default)]
+struct Report {
+    #[serde(default)]
+    via: String,
+}
+
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "camelCase")]
 struct Fees {
@@ -160,6 +168,8 @@
     pub dial_timeout: Micros,
     /// So long after it was told that a server drains or is gone, nothing new may be sent to it.
     pub drain_grace: Micros,
+    /// Servers report their load.
+    pub reports: bool,
 }
 
 impl Config {
@@ -177,6 +187,7 @@
             conn_idle: micros(limits.conn_idle_ms),
             dial_timeout: micros(limits.dial_timeout_ms),
             drain_grace: micros(self.rules.drain_grace_ms),
+            reports: !matches!(self.report.via.as_str(), "" | "off"),
         })
     }
 }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -823,6 +823,49 @@
     assert!(!used.iter().any(|s| ["x0", "x1", "x2"].contains(&s.as_str())));
 }
 
+/// Guards a fleet that is replaced against a front whose probes all fail, or that cannot send any: what is listed
+/// as up is tried by requests in the end, and used once it answers one.
+#[test]
+fn a_fleet_that_answers_no_probe_is_tried_by_requests() {
+    let replaced = |outcome: Option<Outcome>| {
+        // None is cold, or that would hold requests back too.
+        let settings = Settings { probes: true, cold_from: 1.0, ..Settings::default() };
+        let mut bench = Bench::with_servers(settings, 4);
+        let now = bench.settle(0, 100);
+        let new = |i: u8| Server { started: Some(0), ..server(&format!("x{i}"), u32::from(i)) };
+        bench.list(now, ListKind::Full, (0..4).map(new).collect());
+        let (mut probes, mut served) = (0, Vec::new());
+        for i in 0..400 {
+            let (t, id) = (now + i * 20_000, format!("r{i}"));
+            bench.arrive(t, &id, &id, 10_000.0);
+            let asked: Vec<Id> = bench.out.iter().filter_map(probed).collect();
+            let sent = bench.sent();
+            probes += asked.len();
+            for server in &asked {
+                let Some(outcome) = outcome else { continue };
+                bench.event(t, Event::Probed { server, outcome, took: 1_000, report: None });
+            }
+            if sent.is_some() {
+                bench.end(t + 10_000, &id, 0, Outcome::Ok, 10_000);
+                served.push(i);
+            }
+        }
+        (probes, served)
+    };
+    for outcome in [None, Some(Outcome::Moot), Some(Outcome::TimedOut), Some(Outcome::ConnectFailed)] {
+        let (probes, served) = replaced(outcome);
+        assert!((4..=8).contains(&probes), "{outcome:?}: two for each at most, not {probes}");
+        let late = served.iter().filter(|i| **i >= 200).count();
+        assert!(late > 180, "{outcome:?}: {late} of the last 200 served");
+    }
+    let (_, served) = replaced(Some(Outcome::Ok));
+    assert!(served.len() > 380, "{} of 400 served where probes are answered", served.len());
+}
+
+fn probed(action: &Action) -> Option<Id> {
+    if let Action::Probe { server } = action { Some(server.clone()) } else { None }
+}
+
 #[test]
 fn hints_that_are_too_low_do_not_fill_a_cold_server() {
     let sent = |low: f64| {
