Let a ban keep its time over restarts, and explore bans and flowing bodies in every order

A ban told by another process or before a restart had a new grace from that moment (dispatch/src/fleet.rs, ban): 1 s in which new work went to what had been out for long. Change: its record carries when it was made (a record without counts as long ago), and the guard counts from there; check/ learns bans, lists that end none, crashes that keep them, bodies that are used up, with three broken versions; the deadline of what flows is dispatch's alone and no defect.

--- a/check/src/broken.rs
+++ b/check/src/broken.rs
@@ -30,6 +30,12 @@
     DrainAtNextList,
     /// Attempts are started at app servers that have drained for longer than the grace.
     DrainForgotten,
+    /// A list that calls a banned app server ready ends its ban.
+    ListEndsBan,
+    /// Bans are forgotten when the balancer dies.
+    BanDiesToo,
+    /// What an attempt has used up is sent again in part.
+    SentSpent,
     /// An attempt writes its first byte without another look at the app server's standing.
     FirstByteUnseen,
     /// An answer and a time-out are both delivered.
@@ -59,9 +65,12 @@
             Broken::SecondCopyOfUnsafe | Broken::SecondCopyUnset => Property::NoSecondCopy,
             Broken::RefusalAfterRun => Property::HonestRefusal,
             Broken::BeyondLimit => Property::AttemptLimit,
-            Broken::DrainAtNextList | Broken::DrainForgotten | Broken::FirstByteUnseen => {
-                Property::NothingNewToClosed
-            }
+            Broken::DrainAtNextList
+            | Broken::DrainForgotten
+            | Broken::ListEndsBan
+            | Broken::BanDiesToo
+            | Broken::FirstByteUnseen => Property::NothingNewToClosed,
+            Broken::SentSpent => Property::UsedOnce,
             Broken::AnswerAndTimeOut => Property::OneAnswer,
             Broken::EndedKept => Property::NothingKept,
             Broken::NoBackstop => Property::AnsweredInTime,
@@ -76,6 +85,14 @@
                 Sizes { second_copies: false, classes: vec![crate::sizes::Kind::Safe], ..one }
             }
             Broken::BeyondLimit => Sizes { classes: vec![crate::sizes::Kind::Safe], ..one },
+            Broken::ListEndsBan => {
+                Sizes { bans: 1, drains: 0, old_lists: 1, classes: vec![crate::sizes::Kind::Unsafe], ..one }
+            }
+            Broken::BanDiesToo => {
+                let classes = vec![crate::sizes::Kind::Unsafe];
+                Sizes { bans: 1, drains: 0, crashes: 1, transactions: 2, classes, ..one }
+            }
+            Broken::SentSpent => Sizes { flows: true, classes: vec![crate::sizes::Kind::Unsafe], ..one },
             _ => Sizes { classes: vec![crate::sizes::Kind::Unsafe], ..one },
         }
     }
@@ -90,6 +107,7 @@
             Broken::BeyondLimit => Defect::TooManyAttempts,
             Broken::DrainForgotten => Defect::SentToClosed,
             Broken::AnswerAndTimeOut => Defect::SecondAnswer,
+            Broken::SentSpent => Defect::SentSpent,
             _ => return true,
         };
         defect != lifted
--- a/check/src/explore.rs
+++ b/check/src/explore.rs
@@ -109,6 +109,7 @@
             NoSecondCopy,
             AttemptLimit,
             NothingNewToClosed,
+            UsedOnce,
             HonestRefusal,
             AnsweredInTime,
             NothingKept,
--- a/check/src/report.rs
+++ b/check/src/report.rs
@@ -25,6 +25,11 @@
             Sizes { classes: order.clone(), crashes: 1, replacements: 1, drains: 1, ..Sizes::default() },
         ),
         decided("decisions: look and order, drain and leave", 10, Sizes::default()),
+        decided(
+            "decisions: orders that flow, ban and its end, leave",
+            9,
+            Sizes { classes: order.clone(), flows: true, bans: 1, drains: 0, ..Sizes::default() },
+        ),
         named("look and order, three attempts, drain", Chooses::Anything, Some(8), Sizes::default()),
         anything(
             "one order, drain, leave",
@@ -47,6 +52,26 @@
             "one order, list fails, then an old one",
             Sizes { classes: order.clone(), old_lists: 1, drains: 1, attempts: 1, ..one.clone() },
         ),
+        anything(
+            "one order, a ban and its end, a drain, a list that fails",
+            Sizes {
+                classes: order.clone(),
+                bans: 1,
+                drains: 1,
+                old_lists: 1,
+                attempts: 1,
+                deadline: 1,
+                ..one.clone()
+            },
+        ),
+        anything(
+            "two orders, a ban, crash, then the first list",
+            Sizes { classes: order.clone(), crashes: 1, bans: 1, attempts: 1, servers: 1, ..base.clone() },
+        ),
+        anything(
+            "one order that flows, drain, leave",
+            Sizes { classes: order.clone(), flows: true, drains: 1, leaves: 1, ..one.clone() },
+        ),
         anything("one order, ends told twice", Sizes { classes: order.clone(), late_ends: 1, ..one.clone() }),
         anything(
             "two orders with one id, leave",
--- a/check/src/sizes.rs
+++ b/check/src/sizes.rs
@@ -42,6 +42,12 @@
     /// Lists that fail, each followed by an old list.
     #[arg(long, default_value_t = 0)]
     pub old_lists: u8,
+    /// App servers that the operators take out, and call back at any later moment.
+    #[arg(long, default_value_t = 0)]
+    pub bans: u8,
+    /// Transactions are taken while their clients still send, and attempts use up what they send.
+    #[arg(long, default_value_t = false)]
+    pub flows: bool,
     /// Ends of attempts that are told a second time.
     #[arg(long, default_value_t = 0)]
     pub late_ends: u8,
@@ -71,6 +77,8 @@
             crashes: 0,
             replacements: 0,
             old_lists: 0,
+            bans: 0,
+            flows: false,
             late_ends: 0,
             same_ids: false,
             second_copies: true,
--- a/daemon/src/decision.rs
+++ b/daemon/src/decision.rs
@@ -117,7 +117,8 @@
             Mail::Knows { server, told } => drop(told.send(self.dispatch.fleet().knows(&server))),
             Mail::Ban { server, out, told } => {
                 let fresh = self.dispatch.fleet().is_banned(&server) != out;
-                self.hand_over(Input::Ban { server, out });
+                let since = out.then(|| self.context.clock.now());
+                self.hand_over(Input::Ban { server, since });
                 let _ = told.send(fresh);
             }
         }
--- a/daemon/src/door/mod.rs
+++ b/daemon/src/door/mod.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 use tracing::{info, warn};
 
+use crate::clock::Clock;
 use crate::handover::Handover;
 use crate::mail;
 use crate::phase::Phase;
@@ -38,6 +39,8 @@
     pub decision: mail::Mailbox,
     /// True once this process can serve.
     pub ready: watch::Receiver<bool>,
+    /// The daemon's clock.
+    pub clock: Clock,
     /// What the process owes its clients.
     pub phase: Rc<Phase>,
     /// Where bans are written down, if anywhere.
@@ -178,7 +181,7 @@
     }
     // Written down first: what has been said yes to must outlast this process.
     if let Some(handover) = &context.handover {
-        handover.ban(id, out)?;
+        handover.ban(id, out.then(|| context.clock.now()))?;
     }
     let fresh = context.decision.ban(id.clone(), out).await;
     Ok(match (out, fresh) {
--- a/daemon/src/handover/mod.rs
+++ b/daemon/src/handover/mod.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gradepaddle::Id;
+use gradepaddle::{Id, Micros};
 use serde_json::Value;
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -129,10 +129,10 @@
     }
 
     /// Writes a ban down, or takes it away. Done when this returns.
-    pub fn ban(&self, server: &Id, out: bool) -> Result<(), String> {
+    pub fn ban(&self, server: &Id, since: Option<Micros>) -> Result<(), String> {
         let file = record::name("ban", server).ok_or("the id is too long to be written down")?;
-        if out {
-            let ban = record::Ban { version: VERSION, server: server.to_string() };
+        if let Some(made) = since {
+            let ban = record::Ban { version: VERSION, server: server.to_string(), made };
             let text = serde_json::to_vec(&ban).map_err(|e| e.to_string())?;
             self.folder.write(&file, &text).map_err(|e| format!("the ban cannot be written down: {e}"))?;
             self.seen.borrow_mut().insert(file, true);
@@ -143,8 +143,9 @@
         Ok(())
     }
 
-    /// The bans that have come and gone since the last look, made by another process or before the start.
-    pub fn bans(&self) -> Vec<(Id, bool)> {
+    /// The bans that have come, and since when they hold, and those that have gone since the last look: made by
+    /// another process or before the start.
+    pub fn bans(&self) -> Vec<(Id, Option<Micros>)> {
         let files = match self.folder.names("ban-") {
             Ok(files) => files,
             Err(e) => {
@@ -159,8 +160,8 @@
             let read = || self.folder.read(&file).map_err(|e| e.to_string());
             let good = was == Some(true)
                 || match read().and_then(|text| record::ban(&file, &text)) {
-                    Ok(server) => {
-                        changes.push((server, true));
+                    Ok((server, made)) => {
+                        changes.push((server, Some(made)));
                         true
                     }
                     Err(why) => {
@@ -174,7 +175,7 @@
             seen.insert(file, good);
         }
         for (file, _) in before.iter().filter(|(file, good)| **good && !seen.contains_key(*file)) {
-            changes.extend(record::banned(file).map(|server| (server, false)));
+            changes.extend(record::banned(file).map(|server| (server, None)));
         }
         changes
     }
@@ -222,9 +223,9 @@
             let others = self.share(&budget, phase.duty().is_leaving());
             let alone = !others.older && !others.younger;
             sleep(if alone { LOOK } else { LOOK_CLOSELY }).await;
-            for (server, out) in self.bans() {
-                info!(%server, out, "handover: ban made or ended by another process");
-                decision.heed_ban(server, out);
+            for (server, since) in self.bans() {
+                info!(%server, out = since.is_some(), "handover: ban made or ended by another process");
+                decision.heed_ban(server, since);
             }
         }
     }
--- a/daemon/src/mail.rs
+++ b/daemon/src/mail.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use gradepaddle::{Id, ListKind, LoadReport, Server};
+use gradepaddle::{Id, ListKind, LoadReport, Micros, Server};
 use gradepaddle_dispatch::{Cause, Extent, Input, Ticket};
 use tokio::sync::{mpsc, oneshot};
 
@@ -101,8 +101,8 @@
     }
 
     /// Heeds a ban, or its end, that another process has written down: it may come before the list.
-    pub fn heed_ban(&self, server: Id, out: bool) {
-        self.send(Mail::Input(Input::Ban { server, out }));
+    pub fn heed_ban(&self, server: Id, since: Option<Micros>) {
+        self.send(Mail::Input(Input::Ban { server, since }));
     }
 
     /// Takes an app server out or calls it back: true if that is new. It holds when this returns.
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -173,9 +173,9 @@
     let list = std::mem::take(&mut config.known).or_left(at, left, older);
     if let Some(handover) = &handover {
         // Before the table: nothing goes to one that is out.
-        for (server, out) in handover.bans() {
-            info!(%server, out, "handover: ban from before the start");
-            decision.heed_ban(server, out);
+        for (server, since) in handover.bans() {
+            info!(%server, "handover: ban from before the start");
+            decision.heed_ban(server, since);
         }
         spawn_local(handover.clone().run(decision.clone(), budget.clone(), phase.clone()));
     }
@@ -201,7 +201,7 @@
     if let Some(door) = door {
         info!(admin_addr = %door.local_addr().map_err(|e| e.to_string())?, "operators' door open");
         let (phase, handover) = (phase.clone(), handover.clone());
-        let context = door::Context { decision: calls, ready: watched, phase, handover };
+        let context = door::Context { decision: calls, ready: watched, clock, phase, handover };
         spawn_local(door::run(door, Rc::new(context)));
     }
     debug!(settings = ?config.deployment, sockets = config.sockets, "told");
--- a/dispatch/src/dispatch.rs
+++ b/dispatch/src/dispatch.rs
@@ -136,7 +136,7 @@
                 }
             }
             Input::List { kind, servers } => self.list(now, kind, servers, &mut echoes, out),
-            Input::Ban { server, out: is_out } => self.ban(now, server, is_out, &mut echoes, out),
+            Input::Ban { server, since } => self.ban(now, server, since, &mut echoes, out),
             Input::Tick => self.tick(now, &mut echoes, out),
         }
         for _ in 0..MOST_ECHOES {
@@ -337,13 +337,16 @@
         &mut self,
         now: Micros,
         server: Id,
-        is_out: bool,
+        since: Option<Micros>,
         echoes: &mut VecDeque<Echo>,
         out: &mut Vec<Output<M, R>>,
     ) {
-        let told = if is_out { self.fleet.ban(now, &server) } else { self.fleet.lift(now, &server) };
+        let told = match since {
+            Some(since) => self.fleet.ban(since.min(now), &server),
+            None => self.fleet.lift(now, &server),
+        };
         let Some(told) = told else { return };
-        out.push(Output::Standing { server, open: !is_out });
+        out.push(Output::Standing { server, open: since.is_none() });
         let (kind, servers) = (ListKind::Delta, vec![told]);
         self.decide(now, Event::List { kind, servers }, echoes, out);
     }
@@ -377,8 +380,11 @@
         let Some(open) = self.open.get_mut(&ticket) else { return };
         if open.owed {
             if self.guard.has_backstop() {
-                let id = open.id.clone();
-                self.found(Defect::Unanswered, id, out);
+                // The chooser has no deadline for what streams: that one is kept here.
+                if open.spent.is_none() {
+                    let id = open.id.clone();
+                    self.found(Defect::Unanswered, id, out);
+                }
                 self.fail(ticket, true, out);
                 self.told_left(now, ticket, echoes, out);
             }
--- a/dispatch/src/fleet.rs
+++ b/dispatch/src/fleet.rs
@@ -141,9 +141,9 @@
     }
 
     /// Takes one out; gives back what the chooser is to be told of it, if it was open.
-    pub(crate) fn ban(&mut self, now: Micros, id: &Id) -> Option<Server> {
+    pub(crate) fn ban(&mut self, since: Micros, id: &Id) -> Option<Server> {
         let open = self.standing(id) == Some(Standing::Open);
-        self.banned.entry(id.clone()).or_insert(now);
+        self.banned.entry(id.clone()).or_insert(since);
         let entry = self.entries.get(id).filter(|_| open)?;
         Some(entry.server(id, State::Draining, entry.started))
     }
--- a/dispatch/src/io.rs
+++ b/dispatch/src/io.rs
@@ -138,8 +138,8 @@
     Ban {
         /// The app server, listed or not.
         server: Id,
-        /// Out, or back?
-        out: bool,
+        /// Since when it is out; none if it is called back. A ban of a process before this one has had its grace.
+        since: Option<Micros>,
     },
     /// The time that [`crate::Dispatch::due`] named has come.
     Tick,
