Weigh a server's speed for heavy requests, and let no first answer alone set the rate

Change: src/sharing.rs measures whether servers share their time; work met and waits follow from it; a primer for the rate; room for a class before its first answer.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -69,7 +69,11 @@
     /// A balancer with no state but these settings. Equal seeds and events give equal actions.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
+        // A rate learned from the first few answers alone may be off a hundredfold, and then all is refused.
+        let primer =
+            settings.classes.iter().map(|c| c.aim as f64).sum::<f64>() / settings.classes.len() as f64;
         Ok(Balancer {
+            tally: Tally { primer, ..Tally::default() },
             random: mix(seed) | 1,
             open: vec![Vec::new(); settings.classes.len()],
             armed: Micros::MAX,
@@ -343,12 +347,20 @@
         (peer.met + prior) / (peer.took + prior / (self.drain * peer.relative))
     }
 
-    fn ahead(&self, peer: &Peer) -> f64 {
-        peer.work + peer.others
+    /// All the work at a server, and how many requests that is.
+    fn held(&self, peer: &Peer) -> (f64, f64) {
+        let count = f64::from(peer.in_flight) + peer.others / self.tally.mean_work.max(1.0);
+        (peer.work + peer.others, count)
     }
 
-    fn wait(&self, peer: &Peer, now: Micros) -> f64 {
-        let ahead = (self.ahead(peer) + peer.ghost) / self.rate(peer);
+    /// What of that a request with this work waits for.
+    fn ahead(&self, peer: &Peer, work: f64) -> f64 {
+        let (all, count) = self.held(peer);
+        self.tally.sharing.ahead(all, count, work)
+    }
+
+    fn wait(&self, peer: &Peer, work: f64, now: Micros) -> f64 {
+        let ahead = (self.ahead(peer, work) + peer.ghost) / self.rate(peer);
         // Silence: attempts are out and no answer has come for longer than usual; the wait is at least
         // as long. Guards against hangs, pauses and lost links alike.
         let quiet = (now.saturating_sub(peer.sign) as f64 - self.usual()).max(0.0);
@@ -410,10 +422,11 @@
     /// Renews what `choose` reads of a server, kept apart from the rest since it reads them all.
     fn brief(&mut self, server: usize, now: Micros) {
         let peer = &self.servers[server];
-        let wait = self.wait(peer, now);
+        let wait = self.wait(peer, self.tally.mean_work, now);
         let plain = peer.proven && self.warmth(peer, now) >= 1.0;
         let Peer { hash, zone, cell, relative: size, .. } = *peer;
-        self.briefs[server] = Brief { hash, wait, size, zone, cell, plain };
+        let rate = self.rate(peer);
+        self.briefs[server] = Brief { hash, wait, rate, size, zone, cell, plain };
         let classes = self.classes.len();
         for (class, seen) in self.classes.iter().enumerate() {
             self.odds[server * classes + class] =
@@ -429,6 +442,7 @@
         let none = Entry::default();
         let known = if r.keyed { self.young.get(&r.key).unwrap_or(&none) } else { &none };
         let usual = odds(self.classes[r.class].failing);
+        let usual_own = self.tally.mean_work / self.drain;
         // Where a failed try may not be repeated it costs the request besides.
         let price = if self.settings.classes[r.class].effect == Effect::Unsafe { 2.0 * miss } else { miss };
         let mut seats: Vec<Seat> = Vec::with_capacity(self.open[r.class].len());
@@ -443,7 +457,8 @@
             };
             let tried = r.attempts.iter().any(|a| a.server == s && (!again || a.outcome.is_none()));
             let suspect = !again && self.suspect(brief.zone) && now < self.zones[&brief.zone].trial;
-            let wait = brief.wait;
+            let wait =
+                if self.tally.sharing.shares { self.wait(&self.servers[s], r.work, now) } else { brief.wait };
             if !allowed || tried || suspect || (spare && wait / unit >= idle) {
                 continue;
             }
@@ -459,7 +474,9 @@
             let trouble = price * (self.odds[s * classes + r.class] - usual);
             let trouble = if trouble.abs() < 1.0 { 0.0 } else { trouble };
             let order = order(mix(brief.hash ^ r.key), brief.size, self.even);
-            let load = wait / unit + trouble.max(0.0);
+            // A heavy request takes longer where servers are slow, and whoever follows it waits as long.
+            let own = if r.hinted { (r.work / brief.rate - usual_own).max(0.0) } else { 0.0 };
+            let load = (wait + own) / unit + trouble.max(0.0);
             seats.push(Seat { server: s, order, wait, trouble, load, warm: 0.0, home: false, held: false });
         }
         // A key's homes, the first in hash order neither in trouble nor overloaded, are mapped by agreement:
@@ -555,7 +572,8 @@
             out.push(Action::Refuse { request: id, pause });
             return;
         };
-        let work = hint.filter(|h| h.is_finite() && *h > 0.0).unwrap_or(c.aim as f64 / 8.0);
+        let hint = hint.filter(|h| h.is_finite() && *h > 0.0);
+        let (work, hinted) = (hint.unwrap_or(c.aim as f64 / 8.0), hint.is_some());
         let aim = (c.aim as f64 + c.aim_stretch * work).min(c.deadline as f64) as Micros;
         let ends = now.saturating_add(ttl);
         let useful = if c.late_worth > 0.0 { ends } else { ends.min(now.saturating_add(aim)) };
@@ -583,6 +601,7 @@
             key: key_hash,
             keyed: key.is_some() && self.settings.warm_keys,
             work,
+            hinted,
             value,
             ends,
             useful,
@@ -615,8 +634,9 @@
         fade(seen, now);
         // By Little's law a class with more out than is answered in twice its aim is answered later than
         // that. Guards against one that waits everywhere and takes the slots of the others. Harm: a class
-        // whose traffic leaps loses some until its first answers.
-        let crowd = f64::from(seen.out) > SPARE + 2.0 * seen.ended;
+        // whose traffic leaps loses some until its first answers; before any has come, none tells of a crowd.
+        let spare = if seen.typical > 0.0 { SPARE } else { 4.0 * SPARE };
+        let crowd = f64::from(seen.out) > spare + 2.0 * seen.ended;
         if crowd || over > 0.0 {
             let pause = self.pause((over as Micros).max(if crowd { aim } else { 0 }));
             out.push(Action::Refuse { request: id, pause });
@@ -639,8 +659,9 @@
 
     fn send(&mut self, now: Micros, id: &Id, pick: &Pick, out: &mut Vec<Action>) {
         let warm = 1.0 - pick.warm * (1.0 - self.warm_share);
-        let ahead = self.ahead(&self.servers[pick.server]);
+        let all = self.held(&self.servers[pick.server]);
         let Some(r) = self.requests.get_mut(id) else { return };
+        let ahead = self.tally.sharing.ahead(all.0, all.1, r.work);
         let sure = r.work.max(self.classes[r.class].work);
         let peer = &mut self.servers[pick.server];
         let work = r.work * warm;
@@ -651,6 +672,7 @@
             sent: now,
             work,
             met,
+            all,
             gap: peer.idle.map_or(0, |since| now.saturating_sub(since)),
             hit: [(pick.warm == 0.0, 0), (pick.held, 1)].iter().find(|(is, _)| *is).map(|(_, h)| *h),
             outcome: None,
@@ -826,7 +848,7 @@
 
     fn learn(&mut self, now: Micros, r: &Request, a: Attempt, ended: (Outcome, f64), out: &mut Vec<Action>) {
         let (outcome, took) = ended;
-        let Attempt { server, life, sent, work, met, hit, gap, .. } = a;
+        let Attempt { server, life, sent, work, met, all, hit, gap, .. } = a;
         let whole = r.work;
         let seen = &mut self.classes[r.class];
         seen.out -= 1;
@@ -947,6 +969,9 @@
             // What a class's answers take beyond what the servers' rates explain, above the class with the
             // least of it, is its own. Guards against one that waits everywhere. No help with one class.
             let excess = took - 0.8 * seen.floor;
+            if !lost && r.hinted {
+                self.tally.sharing.learn(all.0, all.1, work, excess);
+            }
             let expected = met / self.rate(&self.servers[server]);
             let seen = &mut self.classes[r.class];
             let beyond = excess - expected - seen.own;
@@ -960,6 +985,7 @@
             peer.took += time;
             self.tally.mean_met += (met - self.tally.mean_met) * LEARN / 4.0;
             self.tally.all[0] += done;
+            self.tally.primer *= 1.0 - LEARN;
             self.tally.all[1] += time;
         }
     }
@@ -1011,7 +1037,8 @@
         self.drop_idle(now, span as f64, out);
         let recent = (-(span as f64) / RECENT).exp2();
         if self.tally.all[1] > 0.0 {
-            self.drain = self.tally.all[0].max(self.tally.all[1] * 1e-6) / self.tally.all[1];
+            let [met, took] = self.tally.all;
+            self.drain = (met.max(took * 1e-6) + self.tally.primer) / (took + self.tally.primer);
         }
         self.tally.all = self.tally.all.map(|x| x * recent);
         let window = self.settings.fall_after.max(1) as f64;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 mod probing;
 mod report;
 pub mod settings;
+mod sharing;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/src/sharing.rs
@@ -0,0 +1,91 @@
+//! Whether servers work on their requests one after the other or on all at once, measured by their answers.
+//! Nothing here chooses a server, a repeat or a refusal.
+//!
+//! One after the other, a request waits for all the work ahead of it. All at once (processor sharing), it waits
+//! for as much of each other request as it brings itself: a light one passes a heavy one by. So light requests
+//! behind much work tell the two apart: all at once, they come back much sooner than that work could be done at
+//! the pace of the requests that wait alike by either rule.
+
+/// How much of the sums stays at each new answer.
+const KEEP: f64 = 1.0 - 1.0 / 128.0;
+/// Answers of each sort that must be in the sums before a verdict.
+const LEAST: f64 = 16.0;
+/// Light requests that seem to be served this many times as fast as others have passed those ahead of them by;
+/// with less than the second, they have not.
+const FASTER: [f64; 2] = [1.4, 1.0];
+/// Where requests share, one waits for this many times its own work at each other request, as far as that has
+/// as much: more come while it is served, and each of those shares too.
+const EACH: f64 = 2.0;
+
+/// Sums over answers: work done for them and ahead of them, time, and how many.
+type Sums = [f64; 3];
+
+/// What is known of how servers share.
+#[derive(Clone, Debug, Default)]
+pub struct Sharing {
+    /// Requests are worked on all at once.
+    pub shares: bool,
+    /// Of those that would wait less if requests share, and of those that wait alike by either rule.
+    light: Sums,
+    alike: Sums,
+}
+
+impl Sharing {
+    /// What a request with this work waits for, behind so many requests with so much work in all.
+    pub fn ahead(&self, all: f64, count: f64, work: f64) -> f64 {
+        if self.shares { shared(all, count, work) } else { all }
+    }
+
+    /// Takes in an answer: the work and the requests ahead of it, its own work, and the time it took.
+    pub fn learn(&mut self, all: f64, count: f64, work: f64, time: f64) {
+        let (queued, shared) = (all + work, shared(all, count, work) + work);
+        let sums = if queued > FASTER[0] * shared { &mut self.light } else { &mut self.alike };
+        *sums = [sums[0] + queued, sums[1] + time.max(0.0), sums[2] + 1.0].map(|sum| sum * KEEP);
+        if self.light[2] < LEAST || self.alike[2] < LEAST {
+            return;
+        }
+        let rate = |sums: &Sums| sums[0] / sums[1].max(1.0);
+        let faster = rate(&self.light) / rate(&self.alike);
+        self.shares = faster > FASTER[usize::from(self.shares)];
+    }
+}
+
+fn shared(all: f64, count: f64, work: f64) -> f64 {
+    all.min(EACH * count * work)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a light request that is kept from a server for a heavy one that it would pass by, and the
+    /// other way round: the rule is found from the times alone, and again when it changes.
+    #[test]
+    fn the_rule_that_servers_follow_is_found_from_their_times() {
+        let mut sharing = Sharing::default();
+        let mut random = 7u64;
+        let mut draw = move || {
+            random = crate::state::mix(random);
+            (random >> 11) as f64 / (1u64 << 53) as f64
+        };
+        for (shares, rounds) in [(false, 2_000), (true, 2_000), (false, 2_000)] {
+            for _ in 0..rounds {
+                let mut work = || 20_000.0 * (4.0 * draw()).exp();
+                let (count, own) = (4.0, work());
+                let others: Vec<f64> = (0..4).map(|_| work()).collect();
+                let all: f64 = others.iter().sum();
+                let waits = match shares {
+                    true => others.iter().map(|other| other.min(own)).sum(),
+                    false => all,
+                };
+                let time = (waits + own) / 0.7 * (0.5 + draw());
+                sharing.learn(all, count, own, time);
+            }
+            assert_eq!(sharing.shares, shares);
+        }
+        // Without hints all requests weigh the same, and nothing is learned from that.
+        let mut even = Sharing::default();
+        (0..1_000).for_each(|i| even.learn(300.0, 3.0, 100.0, f64::from(i % 7 + 1)));
+        assert!(!even.shares && even.light == [0.0; 3]);
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,7 @@
 use std::hash::{BuildHasherDefault, Hasher};
 
 use crate::api::*;
+use crate::sharing::Sharing;
 
 /// FNV-1a with a final mix: fixed, so that all gateways and all runs agree.
 #[derive(Clone)]
@@ -222,6 +223,8 @@
     pub sent: Micros,
     pub work: f64,
     pub met: f64,
+    /// All the work ahead of it, and of how many requests.
+    pub all: (f64, f64),
     /// A miss or a hit for sure.
     pub hit: Option<usize>,
     /// How long its connection had been idle, if it was.
@@ -235,6 +238,8 @@
     pub key: u64,
     pub keyed: bool,
     pub work: f64,
+    /// That work is its client's guess, not the mean of its class.
+    pub hinted: bool,
     pub value: f64,
     /// When the client gives up, and when an answer stops being worth anything.
     pub ends: Micros,
@@ -284,6 +289,8 @@
     pub hash: u64,
     /// Expected wait.
     pub wait: f64,
+    /// How fast it works.
+    pub rate: f64,
     pub size: f64,
     pub zone: u32,
     pub cell: u32,
@@ -334,6 +341,10 @@
     /// Sums over all servers like a server's own, and the mean work met.
     pub all: [f64; 2],
     pub mean_met: f64,
+    /// How servers share their time among requests.
+    pub sharing: Sharing,
+    /// Work that stands for a rate of one until the first answers have told the rate.
+    pub primer: f64,
     /// Mean of my work at a server, over the time of a few answers.
     pub usual: f64,
     /// Share of attempts lately that brought no answer in time.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -1055,3 +1055,45 @@
     bench.end(1_003_000, "late", 0, Outcome::TimedOut, 1_000_000);
     assert_eq!(pause(&bench), 2_000_000, "given up when its aim has passed, long before its deadline");
 }
+
+/// Guards the first seconds of a gateway: light requests whose answers took long for other reasons say next to
+/// nothing of how fast servers work, and what comes then is not refused for them.
+#[test]
+fn the_first_answers_alone_do_not_set_the_rate() {
+    let mut bench = Bench::with_servers(Settings::default(), 4);
+    for (i, took) in [13_000, 100_000, 90_000].into_iter().enumerate() {
+        let (t, id) = (i as u64 * 120_000, format!("light{i}"));
+        bench.arrive(t, &id, &id, 1_000.0);
+        bench.end(t + took, &id, 0, Outcome::Ok, took);
+    }
+    for i in 0..5u64 {
+        bench.arrive(400_000 + i * 60_000, &format!("r{i}"), &format!("k{i}"), 80_000.0);
+        assert!(bench.sent().is_some(), "request {i} is sent to one of four idle servers");
+    }
+}
+
+/// Guards heavy requests against slow servers, at which they would not be done in time, and light ones against
+/// being moved for that: their keys stay where they are.
+#[test]
+fn a_heavy_request_goes_where_it_is_done_sooner() {
+    let mut bench = Bench::with_servers(Settings::default(), 2);
+    let mut at = |now: Micros, id: &str, key: &str, hint: f64| {
+        bench.arrive(now, id, key, hint);
+        let server = bench.sent().expect("an idle server takes it");
+        let took = hint as Micros / if server == "a" { 2 } else { 1 };
+        bench.end(now + took, id, 0, Outcome::Ok, took);
+        server
+    };
+    let mut now = 0;
+    let mut next = || {
+        now += 400_000;
+        now
+    };
+    (0..300).for_each(|i| drop(at(next(), &format!("s{i}"), &format!("k{i}"), 20_000.0)));
+    let mut slow = |hint: f64| {
+        (0..40).filter(|i| at(next(), &format!("r{hint}-{i}"), &format!("x{i}"), hint) == "b").count()
+    };
+    let (light, heavy) = (slow(10_000.0), slow(400_000.0));
+    assert!(light >= 10, "{light} of 40 light ones at the slow server");
+    assert!(heavy <= 4, "{heavy} of 40 heavy ones at the slow server");
+}
