Price crossing zones in the sum of costs, while the fleet is not loaded

Homes of keys in the own zone had been tried and taken back: they hold in a jam too. Change: crossing counts its price by what a miss wastes, a miss at most, less the nearer the mean wait is to a jam (choose).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -19,6 +19,8 @@
 const MISS: f64 = 1.0;
 /// The share of the tightest slack that a request may wait: at least, and more by its worth.
 const PATIENCE: [f64; 2] = [0.2, 0.6];
+/// Where the mean wait is this share of the slack, what a miss wastes is lost to others in full.
+const JAM: f64 = 0.25;
 /// Weight of a new observation in the running estimates.
 const LEARN: f64 = 1.0 / 16.0;
 /// How many mean observations a server's own stand beside, and how long they count (half-life).
@@ -445,6 +447,10 @@
         let usual_own = self.tally.mean_work / self.drain;
         // Where a failed try may not be repeated it costs the request besides.
         let price = if self.settings.classes[r.class].effect == Effect::Unsafe { 2.0 * miss } else { miss };
+        // Crossing zones costs its price, a miss the work that others then wait for: next to nothing in an idle
+        // fleet, all of it in a jam. So requests keep to their zone while that is free; never at more than a miss.
+        let wasted = (1.0 - self.warm_share) * (self.mean_wait[r.class] / (JAM * slack)).max(1e-6);
+        let cross = miss * (self.settings.cross_zone_price.max(0.0) / wasted).min(1.0);
         let mut seats: Vec<Seat> = Vec::with_capacity(self.open[r.class].len());
         let classes = self.classes.len();
         for &s in &self.open[r.class] {
@@ -514,7 +520,9 @@
             let replacement = if load < idle { 0.0 } else { miss * (1.0 - warm) };
             // Above L_overload the sum is infinite: only if all are, the lowest finite part wins, since least
             // Load sends every key of a jammed fleet to strangers. Close sums are equal, or noise decides.
-            let sum = (balancing + locality + replacement) / EQUAL + 0.5;
+            let zone = self.briefs[seat.server].zone;
+            let far = if self.settings.zone.is_some_and(|own| own != zone) { cross } else { 0.0 };
+            let sum = (balancing + locality + replacement + far) / EQUAL + 0.5;
             (load > overload, sum as i64, !seat.home, seat.order)
         };
         let seat = seats.iter().min_by_key(|seat| cost(seat))?;
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -1097,3 +1097,36 @@
     assert!(light >= 10, "{light} of 40 light ones at the slow server");
     assert!(heavy <= 4, "{heavy} of 40 heavy ones at the slow server");
 }
+
+/// Guards prices of crossing zones both ways: an idle fleet keeps requests in the gateway's zone, also where a warm
+/// server is elsewhere, and a loaded one sends them wherever they are served.
+#[test]
+fn requests_keep_to_their_zone_while_that_is_free() {
+    let crossed = |price: f64, gap: Micros, took: Micros| {
+        let settings =
+            Settings { zone: Some(0), gateways: 3, cross_zone_price: price, ..Settings::default() };
+        let mut bench = Bench::with_servers(settings, 6);
+        let mut now = bench.settle(0, 200);
+        let (mut far, mut sent) = (0, 0);
+        let mut out: Vec<(Micros, String)> = Vec::new();
+        for i in 0..300u64 {
+            now += gap;
+            let (due, rest): (Vec<_>, Vec<_>) = out.into_iter().partition(|(at, _)| *at <= now);
+            due.iter().for_each(|(at, id)| bench.end(*at, id, 0, Outcome::Ok, took));
+            out = rest;
+            let id = format!("r{i}");
+            bench.arrive(now, &id, &format!("k{}", i % 40), 10_000.0);
+            if let Some(server) = bench.sent() {
+                // Servers a and b are in zone 0.
+                far += u32::from(server != "a" && server != "b");
+                sent += 1;
+                out.push((now + took, id));
+            }
+        }
+        f64::from(far) / f64::from(sent)
+    };
+    assert!(crossed(0.0, 200_000, 20_000) > 0.5, "without a price zones are all the same");
+    assert!(crossed(0.02, 200_000, 20_000) < 0.1, "an idle fleet");
+    let loaded = crossed(0.02, 1_500, 200_000);
+    assert!(loaded > 0.3, "a loaded one: {loaded}");
+}
