--- a/src/choice.rs
+++ b/src/choice.rs
@@ -19,6 +19,8 @@
 const MISS: f64 = 1.0;
 /// The share of the tightest slack that a request may wait: at least, and more by its worth.
 const PATIENCE: [f64; 2] = [0.2, 0.6];
+/// How much a heavy request's own time weighs beside the waits: hints and rates are rough.
+const OWN: f64 = 0.6;
 /// Where the mean wait is this share of the slack, what a miss wastes is lost to others in full.
 const JAM: f64 = 0.25;
 /// Weight of a new observation in the running estimates.
@@ -481,7 +483,7 @@
             let trouble = if trouble.abs() < 1.0 { 0.0 } else { trouble };
             let order = order(mix(brief.hash ^ r.key), brief.size, self.even);
             // A heavy request takes longer where servers are slow, and whoever follows it waits as long.
-            let own = if r.hinted { (r.work / brief.rate - usual_own).max(0.0) } else { 0.0 };
+            let own = if r.hinted { OWN * (r.work / brief.rate - usual_own).max(0.0) } else { 0.0 };
             let load = (wait + own) / unit + trouble.max(0.0);
             seats.push(Seat { server: s, order, wait, trouble, load, warm: 0.0, home: false, held: false });
         }
--- a/src/sharing.rs
+++ b/src/sharing.rs
@@ -15,7 +15,7 @@
 const FASTER: [f64; 2] = [1.4, 1.0];
 /// Where requests share, one waits for this many times its own work at each other request, as far as that has
 /// as much: more come while it is served, and each of those shares too.
-const EACH: f64 = 2.0;
+const EACH: f64 = 1.3;
 
 /// Sums over answers: work done for them and ahead of them, time, and how many.
 type Sums = [f64; 3];
