Explore keyed transactions in every order: their zone, their window, no lie in a refusal

Need: fault reports are keyed within one zone for 6 s, and the check knew safe and unsafe classes alone. Change: a keyed kind with two zones and a window of two steps, the promise kept-key (an attempt starts elsewhere or later only if none is out or may have run), refusals of it that lie, a broken version that the promise must catch. Result: key-elsewhere is caught; with nothing broken no promise breaks, under any chooser and under the decisions.

--- a/check/src/broken.rs
+++ b/check/src/broken.rs
@@ -22,6 +22,8 @@
     SecondCopyOfUnsafe,
     /// A second copy is sent where the settings allow none.
     SecondCopyUnset,
+    /// A keyed transaction that may have run is tried in another zone, or after its key is forgotten.
+    KeyElsewhere,
     /// A transaction that may have run is refused.
     RefusalAfterRun,
     /// The limit of attempts is not heeded.
@@ -63,6 +65,7 @@
             Broken::Nothing => return None,
             Broken::ResendAfterReset | Broken::ResendAfterTimeOut => Property::NoRepeat,
             Broken::SecondCopyOfUnsafe | Broken::SecondCopyUnset => Property::NoSecondCopy,
+            Broken::KeyElsewhere => Property::KeptKey,
             Broken::RefusalAfterRun => Property::HonestRefusal,
             Broken::BeyondLimit => Property::AttemptLimit,
             Broken::DrainAtNextList
@@ -92,6 +95,7 @@
                 let classes = vec![crate::sizes::Kind::Unsafe];
                 Sizes { bans: 1, drains: 0, crashes: 1, transactions: 2, classes, ..one }
             }
+            Broken::KeyElsewhere => Sizes { classes: vec![crate::sizes::Kind::Keyed], ..one },
             Broken::SentSpent => Sizes { flows: true, classes: vec![crate::sizes::Kind::Unsafe], ..one },
             _ => Sizes { classes: vec![crate::sizes::Kind::Unsafe], ..one },
         }
@@ -107,6 +111,7 @@
             Broken::BeyondLimit => Defect::TooManyAttempts,
             Broken::DrainForgotten => Defect::SentToClosed,
             Broken::AnswerAndTimeOut => Defect::SecondAnswer,
+            Broken::KeyElsewhere => Defect::RepeatedUnsafe,
             Broken::SentSpent => Defect::SentSpent,
             _ => return true,
         };
--- a/check/src/explore.rs
+++ b/check/src/explore.rs
@@ -110,6 +110,7 @@
             AttemptLimit,
             NothingNewToClosed,
             UsedOnce,
+            KeptKey,
             HonestRefusal,
             AnsweredInTime,
             NothingKept,
--- a/check/src/property.rs
+++ b/check/src/property.rs
@@ -21,6 +21,8 @@
     /// See [`Property::words`].
     UsedOnce,
     /// See [`Property::words`].
+    KeptKey,
+    /// See [`Property::words`].
     HonestRefusal,
     /// See [`Property::words`].
     AnsweredInTime,
@@ -32,7 +34,7 @@
 
 impl Property {
     /// All of them, in the order in which they are reported.
-    pub const ALL: [Property; 11] = [
+    pub const ALL: [Property; 12] = [
         Property::OneAnswer,
         Property::OwnAnswer,
         Property::NoRepeat,
@@ -40,6 +42,7 @@
         Property::AttemptLimit,
         Property::NothingNewToClosed,
         Property::UsedOnce,
+        Property::KeptKey,
         Property::HonestRefusal,
         Property::AnsweredInTime,
         Property::NothingKept,
@@ -56,6 +59,7 @@
             Property::AttemptLimit => "attempt-limit",
             Property::NothingNewToClosed => "nothing-new-to-closed",
             Property::UsedOnce => "used-once",
+            Property::KeptKey => "kept-key",
             Property::HonestRefusal => "honest-refusal",
             Property::AnsweredInTime => "answered-in-time",
             Property::NothingKept => "nothing-kept",
@@ -82,8 +86,14 @@
                 "no attempt starts at, and no first byte goes to, an app server that was told draining or \
                  gone, or taken out by the operators, longer ago than the grace"
             }
+            Property::KeptKey => {
+                "once an attempt of a keyed transaction is out, or may have run, another starts only in its zone \
+                 and while its key is remembered there"
+            }
             Property::UsedOnce => "no attempt starts of what an earlier one has used up",
-            Property::HonestRefusal => "an unsafe transaction that may have run is never refused",
+            Property::HonestRefusal => {
+                "a transaction that may have run is never refused, unless it is safe to repeat"
+            }
             Property::AnsweredInTime => "a transaction whose client waits is answered by its deadline",
             Property::NothingKept => {
                 "nothing is kept of a transaction once it is answered and its attempts ended"
--- a/check/src/report.rs
+++ b/check/src/report.rs
@@ -72,6 +72,15 @@
             "one order that flows, drain, leave",
             Sizes { classes: order.clone(), flows: true, drains: 1, leaves: 1, ..one.clone() },
         ),
+        anything(
+            "one keyed report, three app servers in two zones, drain",
+            Sizes { classes: vec![Kind::Keyed], servers: 3, drains: 1, ..one.clone() },
+        ),
+        decided(
+            "decisions: keyed reports in two zones, drain and leave",
+            9,
+            Sizes { classes: vec![Kind::Keyed], servers: 3, drains: 1, ..Sizes::default() },
+        ),
         anything("one order, ends told twice", Sizes { classes: order.clone(), late_ends: 1, ..one.clone() }),
         anything(
             "two orders with one id, leave",
--- a/check/src/sizes.rs
+++ b/check/src/sizes.rs
@@ -1,7 +1,7 @@
 //! How large a case is.
 
 use clap::{Args, ValueEnum};
-use gradepaddle::{Class, Effect, Micros, Settings};
+use gradepaddle::{Class, Effect, Group, Micros, Settings};
 
 /// May a class's transactions run more than once?
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, ValueEnum)]
@@ -10,6 +10,15 @@
     Safe,
     /// Must never run twice.
     Unsafe,
+    /// App servers of one zone drop repeats, for two time steps.
+    Keyed,
+}
+
+impl Kind {
+    /// How long repeats are dropped, where a time step lasts this long.
+    pub fn window(step: Micros) -> Micros {
+        2 * step
+    }
 }
 
 /// The sizes of one exploration.
@@ -98,6 +107,7 @@
             effect: match kind {
                 Kind::Safe => Effect::Safe,
                 Kind::Unsafe => Effect::Unsafe,
+                Kind::Keyed => Effect::Keyed { group: Group::Zone, window: Kind::window(step) },
             },
             ..base.classes[0].clone()
         };
--- a/check/src/world.rs
+++ b/check/src/world.rs
@@ -33,6 +33,9 @@
     lost: bool,
     /// Attempts written whole that no app server has said did not run.
     runs: u8,
+    /// Of a keyed transaction: the zone that knows its key, and since when, once an attempt that may have run has
+    /// ended.
+    key: Option<(u32, Micros)>,
     /// Sends that the chooser has asked for.
     sends: u8,
 }
@@ -50,6 +53,8 @@
     attempt: u32,
     client: u8,
     server: u8,
+    /// When it started, where that matters: of keyed transactions.
+    sent: Micros,
     until: Micros,
     /// Its connection is up.
     up: bool,
@@ -162,9 +167,14 @@
     Advance(Micros),
 }
 
+/// App servers stand in two zones by turns.
+fn zone(at: u8) -> u32 {
+    u32::from(at) % 2
+}
+
 fn server(at: u8, state: State) -> Server {
     let id: Id = NAMES[usize::from(at)].into();
-    Server { id, zone: 0, kind: 0, cell: u32::from(at), state, weight: 1.0, started: None }
+    Server { id, zone: zone(at), kind: 0, cell: u32::from(at), state, weight: 1.0, started: None }
 }
 
 /// What stays the same throughout one exploration.
@@ -224,6 +234,7 @@
             left: false,
             lost: false,
             runs: 0,
+            key: None,
             sends: 0,
         };
         let mut world = World {
@@ -598,7 +609,12 @@
     fn end(&mut self, case: &Case, client: u8, attempt: u32, cause: Cause) -> Option<()> {
         let ticket = self.client(client).ticket?;
         let at = self.flights.iter().position(|f| f.ticket == ticket && f.attempt == attempt)?;
-        let Flight { extent, .. } = self.flights.remove(at);
+        let Flight { extent, server, sent, .. } = self.flights.remove(at);
+        if case.kind(client) == Kind::Keyed && extent == Extent::Whole && cause != Cause::Unprocessed {
+            // The earliest counts: from then on its zone forgets.
+            let key = &mut self.clients[usize::from(client)].key;
+            *key = key.filter(|(_, since)| *since <= sent).or(Some((zone(server), sent)));
+        }
         if cause == Cause::Unprocessed {
             self.clients[usize::from(client)].runs -= 1;
         }
@@ -636,9 +652,18 @@
                 if attempt >= case.sizes.attempts {
                     self.breaks(Property::AttemptLimit);
                 }
+                let keyed = case.kind(client) == Kind::Keyed;
+                let sent = if keyed { self.now } else { 0 };
+                let known =
+                    self.flights.iter().filter(|f| f.ticket == ticket).map(|f| (zone(f.server), f.sent));
+                let window = Kind::window(case.step);
+                let lost = |(zone_of, since): (u32, Micros)| zone_of != zone(at) || self.now > since + window;
+                if keyed && known.chain(self.client(client).key).any(lost) {
+                    self.breaks(Property::KeptKey);
+                }
                 let (up, extent, told, withdrawn) = (false, Extent::Nothing, Extent::Nothing, false);
                 let flight =
-                    Flight { ticket, attempt, client, server: at, until, up, extent, told, withdrawn };
+                    Flight { ticket, attempt, client, server: at, sent, until, up, extent, told, withdrawn };
                 let place = self.flights.partition_point(|other| *other < flight);
                 self.flights.insert(place, flight);
             }
@@ -658,7 +683,7 @@
                 let refused = matches!(answer, FinalAnswer::Refused { .. });
                 if !once {
                     self.breaks(Property::OneAnswer);
-                } else if refused && ran && case.kind(c as u8) == Kind::Unsafe {
+                } else if refused && ran && case.kind(c as u8) != Kind::Safe {
                     self.breaks(Property::HonestRefusal);
                 } else if matches!(answer, FinalAnswer::Served(of) if usize::from(of) != c) {
                     self.breaks(Property::OwnAnswer);
