Trust idle connections only for as long as they have proved to live

The decisions know only when a server last answered (choice.rs, gap), not how old the connection is that app_server.rs, reused, hands out. Change: daemon/src/idling.rs learns losses by idle time beside those on new connections and gives what is trusted no more.

--- a/daemon/src/app_server.rs
+++ b/daemon/src/app_server.rs
@@ -81,7 +81,7 @@
             Some(Command::Start(assignment)) => {
                 let task = routed_task::run(
                     assignment,
-                    reused(&mut idle),
+                    reused(&mut idle, &context),
                     view.clone(),
                     park.downgrade(),
                     context.clone(),
@@ -89,8 +89,8 @@
                 tokio::task::spawn_local(task);
             }
             Some(Command::Probe(duty)) => {
-                let task =
-                    probe::run(duty, reused(&mut idle), view.clone(), park.downgrade(), context.clone());
+                let reused = reused(&mut idle, &context).map(|(connection, _)| connection);
+                let task = probe::run(duty, reused, view.clone(), park.downgrade(), context.clone());
                 tokio::task::spawn_local(task);
             }
             Some(Command::DropIdle) => idle.clear(),
@@ -111,12 +111,19 @@
     }
 }
 
-/// The idle connection that was used last.
-fn reused(idle: &mut Vec<Idle>) -> Option<Connection> {
-    while let Some(last) = idle.pop() {
+/// The idle connection that was used last, and how long ago, if it can be trusted. Those under it are older.
+fn reused(idle: &mut Vec<Idle>, context: &Context) -> Option<(Connection, Duration)> {
+    let now = Instant::now();
+    let trusted = context.idling.trusted(now);
+    while let Some(Idle { connection, since }) = idle.pop() {
+        let age = now.saturating_duration_since(since);
+        if age >= trusted {
+            idle.clear();
+            return None;
+        }
         // It may have been closed since we last looked.
-        if last.connection.is_quiet() {
-            return Some(last.connection);
+        if connection.is_quiet() {
+            return Some((connection, age));
         }
     }
     None
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -12,6 +12,7 @@
 mod duty;
 mod handover;
 mod http;
+mod idling;
 mod inherit;
 mod mail;
 mod pace;
@@ -33,13 +34,14 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tracing::{Level, debug, error, info, warn};
 
 use crate::clock::Clock;
 use crate::config::{Config, Occasion};
 use crate::decision::{Decision, Known};
 use crate::handover::Handover;
+use crate::idling::Idling;
 use crate::phase::Phase;
 use crate::service_table::ServiceTable;
 
@@ -162,6 +164,7 @@
         dial_timeout: Duration::from_micros(config.deployment.dial_timeout),
         conn_idle: config.deployment.conn_idle,
         reports: config.deployment.reports,
+        idling: Idling::new(Instant::now()),
     });
     let limits = Limits { grace: config.deployment.drain_grace, ..Limits::default() };
     let dispatch = Dispatch::new(balancer, &config.deployment.settings, &config.name, limits);
--- a/daemon/src/routed_task.rs
+++ b/daemon/src/routed_task.rs
@@ -17,6 +17,7 @@
 use crate::buffers::{Chain, Pool};
 use crate::clock::Clock;
 use crate::http::{self, Body, Connection, Framing, Head, Piece, Rest};
+use crate::idling::Idling;
 use crate::mail;
 use crate::pace::Pace;
 use crate::sockets::{Budget, Side};
@@ -36,6 +37,8 @@
     pub conn_idle: Micros,
     /// App servers report their load.
     pub reports: bool,
+    /// How long idle connections can be trusted.
+    pub idling: Idling,
 }
 
 /// What holds of an app server at this moment.
@@ -119,7 +122,7 @@
 /// Makes the attempt and tells its end. Ending early closes the connection.
 pub async fn run(
     assignment: Assignment,
-    reused: Option<Connection>,
+    reused: Option<(Connection, Duration)>,
     standing: watch::Receiver<Entry>,
     parking: Parking,
     context: Rc<Context>,
@@ -127,6 +130,7 @@
     let Assignment { message, until, withdrawn, mut report } = assignment;
     report.unbegun = false;
     let Message::Http(request) = &*message;
+    let (reused, idle) = reused.unzip();
     let progress = Progress::default();
     let span = until.saturating_sub(context.clock.now());
     let attempt = attempt(request, span, reused, standing, &parking, &report, &progress, &context);
@@ -143,6 +147,10 @@
         _ = withdrawn => End::of(Cause::Withdrawn),
         () = over => End::of(Cause::OutOfTime),
     };
+    // Other ends say nothing of the connection: it was left, or never came up.
+    if matches!(end.cause, Cause::Broke | Cause::Served | Cause::Failed) {
+        context.idling.note(Instant::now(), idle, end.cause == Cause::Broke);
+    }
     if let (Some(connection), Some(parking)) = (end.connection, parking.upgrade()) {
         // If the actor has just ended, the connection closes here.
         let _ = parking.send(connection);
