--- a/src/choice.rs
+++ b/src/choice.rs
@@ -102,11 +102,7 @@
     /// Takes in one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Micros, event: Event<'_>, out: &mut Vec<Action>) {
         match event {
-            Event::List { kind, servers } => {
-                self.list(now, kind, servers);
-                // At once: the first request after it may be long in coming, and would be refused.
-                self.probe(now, out);
-            }
+            Event::List { kind, servers } => self.list(now, kind, servers),
             Event::Request(arrival) => self.arrive(now, arrival, out),
             Event::Streaming { request, attempt } => self.streaming(request, attempt, out),
             Event::Ended(ended) => self.ended(now, ended, out),
--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -46,9 +46,9 @@
         let now = bench.settle(0, 60);
         let new = |i: u8| Server { id: format!("new{i}").into(), ..server("new", u32::from(i)) };
         bench.list(now, ListKind::Delta, (0..3).map(new).collect());
+        bench.arrive(now + 100_000, "r", "k", 10_000.0);
         let asked = bench.out.iter().filter(|action| matches!(action, Action::Probe { .. })).count();
         assert_eq!(asked, probes);
-        bench.arrive(now + 100_000, "r", "k", 10_000.0);
         assert!(bench.sent().is_some(), "those before them serve on");
     }
 }
