Ask a silent watch or call anew at once, in time, and read lists however they are written

The watch was read line by line, so the first line of an indented list was no list.

Change: the list's clock is a state machine without I/O (dispatch/src/listing.rs): limits by the beat that is seen, silence asked anew at once, time for two calls before 6 s are over, failures behind a silence followed up in time. Values are read by serde_json however they are cut.

Tests with processes: silent before the head, behind it, amid a list, amid a watch; indented, in single bytes, spoilt.

--- a/daemon/src/http/framing.rs
+++ b/daemon/src/http/framing.rs
@@ -82,7 +82,7 @@
 }
 
 /// Takes the next whole line, without its end; one of `most` bytes or more is too long.
-pub fn line(inbox: &mut Chain, most: usize) -> Result<Option<Vec<u8>>, Fault> {
+fn line(inbox: &mut Chain, most: usize) -> Result<Option<Vec<u8>>, Fault> {
     let Some(end) = inbox.bytes().take(most).position(|b| b == b'\n') else {
         return match inbox.len() < most {
             true => Ok(None),
--- a/daemon/src/http/mod.rs
+++ b/daemon/src/http/mod.rs
@@ -17,7 +17,7 @@
 use crate::pace::Pace;
 use crate::sockets::Permit;
 pub use body::Body;
-pub use framing::{Chunks, Framing, line};
+pub use framing::{Chunks, Framing};
 pub use head::Head;
 
 /// The longest head that is read.
--- a/daemon/src/service_table.rs
+++ b/daemon/src/service_table.rs
@@ -7,26 +7,25 @@
 use std::time::Duration;
 
 use gradepaddle::settings::{Deployment, micros, place};
-use gradepaddle::{ListKind, Server, State};
+use gradepaddle::{ListKind, Micros, Server, State};
+use gradepaddle_dispatch::ListClock;
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use tracing::{debug, info, warn};
 
 use crate::handover::{Handover, Table};
-use crate::http::{Chunks, Connection, Framing, line};
+use crate::http::{Chunks, Connection, Framing};
 use crate::mail::{self, Change};
 use crate::routed_task::Context;
 use crate::sockets::Side;
 
-/// Discovery sends an empty line every 2 s; a watch silent for this long is broken.
-const SILENCE: Duration = Duration::from_secs(5);
 /// How long the connection may take to come up.
 const DIAL: Duration = Duration::from_secs(1);
-/// The longest line of a watch: room for the list of some thousand app servers.
-const MAX_LINE: usize = 1024 * 1024;
+/// The longest value of a watch: room for the list of some thousand app servers.
+const MAX_VALUE: usize = 1024 * 1024;
 
 /// What the table is asked.
 pub enum Ask {
@@ -71,6 +70,65 @@
     1.0
 }
 
+/// The values of a watch, one behind the other, however they are cut into lines and chunks.
+#[derive(Default)]
+struct Values {
+    text: Vec<u8>,
+}
+
+impl Values {
+    /// Takes in what came, and gives back the values that are whole by now. Fails where a value is no list, or is too
+    /// long: nothing behind that can be trusted.
+    fn take(&mut self, came: &[u8]) -> Result<Vec<Listing>, String> {
+        self.text.extend_from_slice(came);
+        let (mut whole, mut used) = (Vec::new(), 0);
+        // A list ends with this; before that there is nothing to read, in however many pieces it comes.
+        if came.contains(&b'}') {
+            let mut values = serde_json::Deserializer::from_slice(&self.text).into_iter();
+            while let Some(value) = values.next() {
+                match value {
+                    Ok(listing) => whole.push(listing),
+                    Err(e) if e.is_eof() => break,
+                    Err(e) => return Err(format!("what is no list: {e}")),
+                }
+                used = values.byte_offset();
+            }
+        }
+        let space = self.text[used..].iter().take_while(|byte| byte.is_ascii_whitespace()).count();
+        self.text.drain(..used + space);
+        match self.text.first() {
+            Some(byte) if *byte != b'{' => Err("what is no list".into()),
+            _ if self.text.len() >= MAX_VALUE => Err("a list that is too long".into()),
+            _ => Ok(whole),
+        }
+    }
+
+    /// True if half a value waits for its rest.
+    fn is_amid(&self) -> bool {
+        !self.text.is_empty()
+    }
+}
+
+/// How a watch ended.
+enum End {
+    /// Without a word.
+    Silent(String),
+    /// With one: refused, reset, turned down, spoilt.
+    Failed(String),
+}
+
+impl From<&str> for End {
+    fn from(why: &str) -> Self {
+        End::Failed(why.to_owned())
+    }
+}
+
+impl From<String> for End {
+    fn from(why: String) -> Self {
+        End::Failed(why)
+    }
+}
+
 /// The actor's state.
 pub struct ServiceTable {
     discovery: SocketAddr,
@@ -78,6 +136,7 @@
     decision: mail::Mailbox,
     context: Rc<Context>,
     seq: u64,
+    clock: ListClock,
     /// The entries as they were told, by id, where they are left for a process that may follow.
     left: Option<(Rc<Handover>, BTreeMap<String, Value>)>,
 }
@@ -105,17 +164,26 @@
         handover: Option<Rc<Handover>>,
     ) -> Self {
         let left = handover.map(|handover| (handover, BTreeMap::new()));
-        ServiceTable { discovery, deployment, decision, context, seq: 0, left }
+        ServiceTable { discovery, deployment, decision, context, seq: 0, clock: ListClock::default(), left }
     }
 
     /// Starts from the last list and watches whenever asked to.
     pub async fn run(mut self, known: Listing, mut inbox: mpsc::UnboundedReceiver<Ask>) {
         self.apply(known, ListKind::Cached);
-        while let Some(ask) = inbox.recv().await {
-            if let Ask::Move(to) = ask {
-                self.moved(to);
+        let mut again = None;
+        loop {
+            let ask = tokio::select! {
+                biased;
+                ask = inbox.recv() => ask,
+                () = sleep_until(self.instant(again)), if again.is_some() => Some(Ask::Watch),
+            };
+            match ask {
+                None => return,
+                Some(Ask::Watch) => {}
+                Some(Ask::Move(to)) => self.moved(to),
             }
-            // A move ends a watch for no fault, so it goes on at once at the new address.
+            // A move ends a watch for no fault, so it goes on at once at the new address; what has fallen silent is
+            // broken, and waiting would only make it later.
             let why = loop {
                 tokio::select! {
                     biased;
@@ -123,30 +191,48 @@
                         Some(to) => self.moved(to),
                         None => return,
                     },
-                    why = self.watch() => break why,
+                    end = self.watch() => match end {
+                        End::Failed(why) => break why,
+                        End::Silent(what) => {
+                            self.clock.fell_silent();
+                            let behind = self.clock.is_behind(self.now());
+                            warn!(discovery = %self.discovery, seq = self.seq, behind, "{what}: asked anew");
+                        }
+                    },
                 }
             };
+            again = self.clock.failed(self.now());
             warn!(discovery = %self.discovery, seq = self.seq, "watch broken: {why}");
             self.decision.table(Change { seq: self.seq, kind: ListKind::Failed, entries: Vec::new() });
         }
     }
 
+    fn now(&self) -> Micros {
+        self.context.clock.now()
+    }
+
+    fn instant(&self, at: Option<Micros>) -> Instant {
+        self.context.clock.instant(at.unwrap_or(Micros::MAX))
+    }
+
     /// Turns to another discovery. The table holds until that has told its list, but not its version:
     /// another discovery counts its own, and changes after ours might mean nothing there.
     fn moved(&mut self, to: SocketAddr) {
         info!(from = %self.discovery, %to, "discovery has moved");
         (self.discovery, self.seq) = (to, 0);
+        self.clock.moved(self.now());
     }
 
-    /// Watches until the watch ends, and says why it did.
-    async fn watch(&mut self) -> String {
+    /// Watches until the watch ends, and says how it did.
+    async fn watch(&mut self) -> End {
         debug!(seq = self.seq, "call for the list");
         let Some(permit) = self.context.budget.take(Side::Server) else {
             return "no descriptor left".into();
         };
+        self.clock.called(self.now());
         let mut connection = match timeout(DIAL, TcpStream::connect(self.discovery)).await {
             Ok(Ok(stream)) => Connection::new(stream, &self.context.pool, permit),
-            Ok(Err(e)) => return e.to_string(),
+            Ok(Err(e)) => return e.to_string().into(),
             Err(_) => return "the connection did not come up".into(),
         };
         let mut request = self.context.pool.chain();
@@ -155,41 +241,47 @@
             self.seq, self.discovery
         );
         request.push(text.as_bytes());
-        let head = timeout(SILENCE, async {
+        let head = timeout_at(self.instant(self.clock.silent_at()), async {
             connection.write(&[&request]).await.map_err(|e| e.to_string())?;
             connection.read_head().await.map_err(|fault| fault.to_string())
         });
         let head = match head.await {
             Ok(Ok(head)) => head,
-            Ok(Err(why)) => return why,
-            Err(_) => return "no answer".into(),
+            Ok(Err(why)) => return why.into(),
+            Err(_) => return End::Silent("a call without an answer".into()),
         };
         match head.status() {
             Ok(200) => {}
-            Ok(status) => return format!("discovery answered {status}"),
+            Ok(status) => return format!("discovery answered {status}").into(),
             Err(why) => return why.into(),
         }
         if head.framing(Framing::UntilClose) != Ok(Framing::Chunked) {
             return "the answer is not chunked".into();
         }
-        let (mut chunks, mut text) = (Chunks::new(), self.context.pool.chain());
+        let (mut chunks, mut came, mut values) =
+            (Chunks::new(), self.context.pool.chain(), Values::default());
         loop {
-            let ended = match timeout(SILENCE, connection.read_chunks(&mut chunks, &mut text, MAX_LINE)).await
-            {
+            let read = connection.read_chunks(&mut chunks, &mut came, MAX_VALUE);
+            let ended = match timeout_at(self.instant(self.clock.silent_at()), read).await {
                 Ok(Ok(ended)) => ended,
-                Ok(Err(fault)) => return fault.to_string(),
-                Err(_) => return format!("silent for {} s", SILENCE.as_secs()),
+                Ok(Err(fault)) => return fault.to_string().into(),
+                Err(_) if values.is_amid() => return End::Silent("half a list, then silence".into()),
+                Err(_) => return End::Silent("a watch that is silent".into()),
             };
-            loop {
-                match line(&mut text, MAX_LINE) {
-                    Ok(None) => break,
-                    Ok(Some(line)) if line.trim_ascii().is_empty() => {}
-                    Ok(Some(line)) => match serde_json::from_slice(&line) {
-                        Ok(listing) => self.changed(listing),
-                        Err(e) => return format!("a line that is no list: {e}"),
-                    },
-                    Err(fault) => return fault.to_string(),
+            let text = came.copy(came.len());
+            came.consume(text.len());
+            match values.take(&text) {
+                Ok(listings) => {
+                    for listing in listings {
+                        self.clock.told(self.now());
+                        self.changed(listing);
+                    }
                 }
+                Err(why) => return why.into(),
+            }
+            // Half a value is no sign of life: what it would tell is still owed.
+            if !values.is_amid() {
+                self.clock.beats(self.now());
             }
             if ended {
                 return "discovery ended it".into();
@@ -287,3 +379,53 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+    use proptest::test_runner::TestRunner;
+
+    use super::*;
+
+    fn seqs(values: &mut Values, text: &[u8]) -> Vec<u64> {
+        values.take(text).expect("lists").iter().map(|listing| listing.seq).collect()
+    }
+
+    /// Guards lists against how they are cut: indented or in one line, with empty lines between them or none, in
+    /// pieces of any length, the same ones come out in their order.
+    #[test]
+    fn lists_come_out_whole_however_they_are_written_and_cut() {
+        let one = (any::<bool>(), 0..3usize, 0..4usize);
+        let lists = (prop::collection::vec(one, 1..6), 1..40usize);
+        let check = |(lists, piece): (Vec<(bool, usize, usize)>, usize)| {
+            let mut text = String::new();
+            for (seq, (indented, hosts, lines)) in lists.iter().enumerate() {
+                let hosts = vec![serde_json::json!({"host": "a}{", "health": "up"}); *hosts];
+                let list = serde_json::json!({"seq": seq, "whole": seq == 0, "hosts": hosts});
+                text += &if *indented { format!("{list:#}") } else { list.to_string() };
+                text += &"\r\n".repeat(*lines);
+            }
+            let mut values = Values::default();
+            let came: Vec<u64> =
+                text.as_bytes().chunks(piece).flat_map(|piece| seqs(&mut values, piece)).collect();
+            prop_assert_eq!(came, (0..lists.len() as u64).collect::<Vec<_>>());
+            prop_assert!(!values.is_amid());
+            Ok(())
+        };
+        TestRunner::new(crate::http::fixed()).run(&lists, check).expect("all cases");
+    }
+
+    /// Guards the process against what is no list, and its memory against one without end.
+    #[test]
+    fn what_is_no_list_is_turned_down_and_half_a_list_waits() {
+        for spoilt in ["nonsense", "{\"seq\":x}", "{\"seq\":1}]", "[]", "{\"seq\":\"1\"}"] {
+            assert!(Values::default().take(spoilt.as_bytes()).is_err(), "{spoilt}");
+        }
+        let mut values = Values::default();
+        assert!(seqs(&mut values, b"{\"seq\":4,\n").is_empty());
+        assert!(values.is_amid());
+        assert_eq!(seqs(&mut values, b"\"whole\":true}\n\n{"), [4]);
+        assert!(values.is_amid());
+        assert!(values.take(&[b' '; MAX_VALUE]).is_err());
+    }
+}
--- a/daemon/tests/network/main.rs
+++ b/daemon/tests/network/main.rs
@@ -2,6 +2,7 @@
 
 mod flow;
 mod keyed;
+mod listing;
 mod operators;
 mod probes;
 mod replaced;
--- a/daemon/tests/network/rig.rs
+++ b/daemon/tests/network/rig.rs
@@ -102,10 +102,16 @@
 
     /// Waits for a log line with this text.
     pub fn logged(&self, text: &str) -> String {
+        self.logged_before(text, "\n")
+    }
+
+    /// Waits for a log line with this text; none with the other may come before it.
+    pub fn logged_before(&self, text: &str, other: &str) -> String {
         let end = std::time::Instant::now() + PATIENCE;
         loop {
             let left = end.saturating_duration_since(std::time::Instant::now());
             let line = self.log.recv_timeout(left).unwrap_or_else(|_| panic!("{text:?} in the log"));
+            assert!(!line.contains(other), "{line}");
             if line.contains(text) {
                 return line;
             }
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -43,6 +43,7 @@
 mod fleet;
 mod guard;
 mod io;
+mod listing;
 mod transaction;
 
 pub use attempt::{Cause, Extent, outcome};
@@ -51,4 +52,5 @@
 pub use fleet::{Fleet, Place, Standing};
 pub use guard::{Defect, Defects, Guard, Rules};
 pub use io::{FinalAnswer, Input, Output, Ticket, Transaction};
+pub use listing::ListClock;
 pub use transaction::{Standpoint, View};
