--- a/daemon/tests/fleet/main.rs
+++ b/daemon/tests/fleet/main.rs
@@ -210,3 +210,23 @@
         holds(&fleet).await;
     });
 }
+
+/// Guards processes whose watches fall silent together while an app server drains: each asks anew in time, none of them
+/// sends it anything after that counts as told, and none takes the silence for an outage.
+#[test]
+fn half_of_all_watches_fall_silent_while_an_app_server_drains() {
+    on_one_thread(async {
+        let fleet = Fleet::start(plan(6, 4)).await.expect("a fleet");
+        let load = fleet.traffic(EACH);
+        each_serves(&fleet, &[0, 1, 2, 3, 4, 5], 10).await;
+        for place in 0..3 {
+            fleet.discovery.fall_silent(fleet.process(place).number);
+        }
+        fleet.list(3, Health::Draining);
+        all_know_the_drain_of(&fleet, 3).await;
+        // For longer than the grace: each request that goes there now is a breach.
+        serves_on(&fleet, 800).await;
+        load.set(false);
+        holds(&fleet).await;
+    });
+}
--- a/standins/src/books.rs
+++ b/standins/src/books.rs
@@ -136,6 +136,23 @@
         /// What.
         health: Health,
     },
+    /// Discovery has a change, whoever is told of it.
+    Changed {
+        /// Of whom.
+        server: usize,
+        /// What holds now.
+        health: Health,
+    },
+    /// The watches of a process say nothing from now on.
+    Silenced {
+        /// Whose.
+        process: usize,
+    },
+    /// A call of a process is answered; what it has missed follows.
+    Hears {
+        /// Whose.
+        process: usize,
+    },
     /// Something happened to a process.
     Turned {
         /// To whom.
@@ -177,6 +194,9 @@
     }
 }
 
+/// What is missed in a silence counts as told so long after that began, in microseconds (`docs/list-clock.md`).
+const UNHEARD: u64 = 6_000_000;
+
 /// What the rules allow, in microseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Allowed {
@@ -311,7 +331,12 @@
                 Fact::Came { request, server, group, took } => {
                     cases.entry(*request).or_default().came.push((*at, *server, *group, took));
                 }
-                Fact::Missed { .. } | Fact::Told { .. } | Fact::Turned { .. } => {}
+                Fact::Missed { .. }
+                | Fact::Told { .. }
+                | Fact::Changed { .. }
+                | Fact::Silenced { .. }
+                | Fact::Hears { .. }
+                | Fact::Turned { .. } => {}
             }
         }
         cases
@@ -400,17 +425,30 @@
         paused
     }
 
-    /// Since when a process has known an app server for closed, at this time.
+    /// Since when an app server has counted as told to be closed to a process, at this time: from when discovery wrote
+    /// it, and what a silence kept back from [`UNHEARD`] after that began, whether it came or not.
     fn closed_since(&self, process: usize, server: usize, at: u64) -> Option<u64> {
-        let mut since = None;
-        for (told, fact) in self.facts.iter().take_while(|(told, _)| *told <= at) {
-            if let Fact::Told { process: to, server: of, health } = fact
-                && (*to, *of) == (process, server)
-            {
-                since = if *health == Health::Up { None } else { since.or(Some(*told)) };
+        let (mut since, mut silent, mut missed) = (None, None, None);
+        for (when, fact) in self.facts.iter().take_while(|(when, _)| *when <= at) {
+            match fact {
+                Fact::Told { process: to, server: of, health } if (*to, *of) == (process, server) => {
+                    since = if *health == Health::Up {
+                        None
+                    } else {
+                        since.or(missed.filter(|counts| counts < when)).or(Some(*when))
+                    };
+                    missed = None;
+                }
+                Fact::Silenced { process: of } if *of == process => silent = silent.or(Some(*when)),
+                Fact::Hears { process: of } if *of == process => silent = None,
+                Fact::Changed { server: of, health } if *of == server => {
+                    let counts = silent.map(|silent: u64| (silent + UNHEARD).max(*when));
+                    missed = if *health == Health::Up { None } else { missed.or(counts) };
+                }
+                _ => {}
             }
         }
-        since
+        since.or(missed.filter(|counts| *counts <= at))
     }
 
     /// What was seen of a request, and what happened to its process meanwhile.
@@ -428,7 +466,9 @@
                 | Fact::Came { request: of, .. } => *of == request,
                 Fact::Told { process: of, health, .. } => Some(*of) == process && *health != Health::Up,
                 Fact::Turned { process: of, .. } => Some(*of) == process,
-                Fact::Missed { .. } => false,
+                Fact::Missed { .. } | Fact::Changed { .. } | Fact::Silenced { .. } | Fact::Hears { .. } => {
+                    false
+                }
             };
             if concerns {
                 // Writing to a string does not fail.
@@ -473,6 +513,14 @@
         Fact::Told { process: 0, server: 1, health }
     }
 
+    fn drains() -> Fact {
+        Fact::Changed { server: 1, health: Health::Draining }
+    }
+
+    fn silenced() -> Fact {
+        Fact::Silenced { process: 0 }
+    }
+
     /// Guards books that see nothing or cry wolf: each rule is broken by what breaks it and by nothing beside it.
     #[test]
     fn each_rule_is_broken_by_what_breaks_it_alone() {
@@ -505,6 +553,9 @@
             ("within the grace", vec![(0, told(Health::Draining)), (1, asked(Repeats::Safe)), (900_000, begun(1)), (900_001, served(1))], None),
             ("after the grace", vec![(0, told(Health::Draining)), (1_000_000, asked(Repeats::Safe)), (1_200_000, begun(1)), (1_200_001, served(1))], Some(Rule::DrainKept)),
             ("removed later changes nothing", vec![(0, told(Health::Draining)), (900_000, told(Health::Removed)), (1_000_000, asked(Repeats::Safe)), (1_200_000, begun(1)), (1_200_001, served(1))], Some(Rule::DrainKept)),
+            ("missed in a silence", vec![(0, silenced()), (9, drains()), (7_050_000, asked(Repeats::Safe)), (7_100_000, begun(1)), (7_100_001, served(1))], Some(Rule::DrainKept)),
+            ("in a silence, before it counts", vec![(0, silenced()), (9, drains()), (6_900_000, asked(Repeats::Safe)), (7_000_000, begun(1)), (7_000_001, served(1))], None),
+            ("a silence that was over", vec![(0, silenced()), (8, Fact::Hears { process: 0 }), (9, drains()), (7_050_000, asked(Repeats::Safe)), (7_100_000, begun(1)), (7_100_001, served(1))], None),
             ("up again", vec![(0, told(Health::Draining)), (9, told(Health::Up)), (1_000_000, asked(Repeats::Safe)), (1_200_000, begun(1)), (1_200_001, served(1))], None),
             ("refused what ran", vec![(0, asked(Repeats::Unsafe)), (1, begun(0)), (2, heard(Refused))], Some(Rule::HonestRefusal)),
             ("refused, then it runs", vec![(0, asked(Repeats::Unsafe)), (1, heard(Refused)), (2, begun(0))], Some(Rule::HonestRefusal)),
--- a/standins/src/discovery.rs
+++ b/standins/src/discovery.rs
@@ -2,12 +2,13 @@
 //! know who was told what.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use serde_json::{Value, json};
-use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinSet, spawn_local};
@@ -36,6 +37,8 @@
 struct Inner {
     /// All changes in order; a version is how many there are.
     changes: Vec<Entry>,
+    /// How often the watches of a process fell silent.
+    silences: BTreeMap<usize, u32>,
     /// Where a process is to dial an app server instead.
     detours: Vec<(usize, usize, SocketAddr)>,
     ledger: Ledger,
@@ -57,14 +60,15 @@
 impl Discovery {
     /// One that knows of nobody.
     pub fn new(ledger: Ledger) -> Self {
-        let inner = Inner { changes: Vec::new(), detours: Vec::new(), ledger };
+        let inner = Inner { changes: Vec::new(), silences: BTreeMap::new(), detours: Vec::new(), ledger };
         Discovery { inner: Rc::new(RefCell::new(inner)), state: Rc::new(watch::Sender::new((true, 0))) }
     }
 
     /// Enters a change and tells all who watch.
     pub fn enter(&self, entry: Entry) {
         let version = {
-            let changes = &mut self.inner.borrow_mut().changes;
+            let Inner { changes, ledger, .. } = &mut *self.inner.borrow_mut();
+            ledger.write(Fact::Changed { server: entry.server, health: entry.health });
             changes.push(entry);
             changes.len()
         };
@@ -76,6 +80,17 @@
         self.inner.borrow_mut().detours.push((process, server, dial));
     }
 
+    /// The watches that this process has open say nothing any more; a new one does.
+    pub fn fall_silent(&self, process: usize) {
+        let Inner { silences, ledger, .. } = &mut *self.inner.borrow_mut();
+        *silences.entry(process).or_default() += 1;
+        ledger.write(Fact::Silenced { process });
+    }
+
+    fn silences(&self, process: usize) -> u32 {
+        self.inner.borrow().silences.get(&process).copied().unwrap_or_default()
+    }
+
     /// Down: calls fail and watches end. Or up again.
     pub fn set_up(&self, up: bool) {
         self.state.send_modify(|state| state.0 = up);
@@ -158,6 +173,7 @@
                 None => self.whole(),
             };
             let list = self.list(process, version, whole, &entries).to_string();
+            self.inner.borrow().ledger.write(Fact::Hears { process });
             self.tell(process, &entries);
             if !watches {
                 let answer = wire::answer("200 OK", "Content-Type: application/json\r\n", &list);
@@ -181,12 +197,19 @@
         mut states: watch::Receiver<(bool, usize)>,
         mut told: usize,
     ) {
+        let silences = self.silences(process);
         loop {
             let changed = tokio::time::timeout(
                 std::time::Duration::from_secs(2),
                 states.wait_for(|s| !s.0 || s.1 > told),
             )
             .await;
+            if self.silences(process) > silences {
+                // Nothing more comes until the other side ends it.
+                let mut rest = [0; 64];
+                while let Ok(1..) = stream.read(&mut rest).await {}
+                return;
+            }
             let text = match changed.map(|state| state.map(|state| *state)) {
                 Ok(Ok((true, version))) => {
                     let entries = self.inner.borrow().changes[told..version].to_vec();
