Keep the book between real processes: bans told at one balancer hold at all

Need: a ban lived in the folder of the balancer that was told; a machine lost with its disk lost it, and the others never knew.

Change: with GRADEPADDLE_FLEET the daemon opens the book: keepers with a thread for the disk, an actor for each other keeper, readers that follow one; the door's disable-server and enable-server go through it, and 'book' says where it stands. A stand-in council starts such processes, with a link for each pair, disks that are emptied, doors.

Found by the tests: amid the change that brings a replaced machine in, the replaced one still counts, and a second loss then stops the book; 'book' now says changing.

--- a/book/src/bans.rs
+++ b/book/src/bans.rs
@@ -68,9 +68,14 @@
 impl Bans {
     /// None yet, and where they will be shown.
     pub fn new() -> (Self, Shown) {
-        let bans = Bans::default();
-        let shown = bans.0.clone();
-        (bans, shown)
+        let shown = Shown::default();
+        (Bans(shown.clone()), shown)
+    }
+
+    /// None yet, to be shown there.
+    pub fn shown_at(shown: Shown) -> Self {
+        shown.0.borrow_mut().clear();
+        Bans(shown)
     }
 }
 
--- a/book/src/keeper.rs
+++ b/book/src/keeper.rs
@@ -134,6 +134,8 @@
     pub voters: Vec<String>,
     /// Those that are being caught up, by name.
     pub learners: Vec<String>,
+    /// Amid a change of who counts: until it is over, those that are replaced count too.
+    pub changing: bool,
     /// Writes are taken.
     pub open: bool,
 }
@@ -301,6 +303,7 @@
             applied: self.ledger.index(),
             voters: names(&self.members.voters),
             learners: names(&self.members.learners),
+            changing: !self.members.outgoing.is_empty(),
             open: self.open().is_ok(),
         }
     }
--- a/book/src/store.rs
+++ b/book/src/store.rs
@@ -63,6 +63,7 @@
 const HASH: usize = blake3::OUT_LEN;
 
 /// The disk of one keeper.
+#[derive(Debug)]
 pub struct Disk {
     file: Database,
 }
@@ -159,14 +160,13 @@
             kept.snapshot = unseal("snapshot", sealed.value())?;
         }
         let log = read.open_table(LOG).map_err(broken)?;
-        let mut next = kept.snapshot.index + 1;
-        for record in log.range(next..).map_err(broken)? {
-            let (index, sealed) = record.map_err(broken)?;
-            if index.value() != next {
-                return Err(StoreError::Gap(index.value()));
+        let first = kept.snapshot.index + 1;
+        for (index, record) in (first..).zip(log.range(first..).map_err(broken)?) {
+            let (found, sealed) = record.map_err(broken)?;
+            if found.value() != index {
+                return Err(StoreError::Gap(found.value()));
             }
-            kept.entries.push(unseal(&at(next), sealed.value())?);
-            next += 1;
+            kept.entries.push(unseal(&at(index), sealed.value())?);
         }
         Ok(kept)
     }
--- a/book/tests/disk.rs
+++ b/book/tests/disk.rs
@@ -115,12 +115,9 @@
 fn what_was_kept_is_there_after_a_restart() {
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("book.redb");
-    let mut expected = Kept { id: 9, ..Kept::default() };
+    let mut expected = Kept { id: 77, ..Kept::default() };
     for batch in life() {
-        let (mut disk, kept) = Disk::open(&path, 77).map_or_else(|e| panic!("{e}"), |it| it);
-        if kept.id == 77 {
-            expected.id = 77;
-        }
+        let (mut disk, kept) = Disk::open(&path, 77).expect("the disk");
         assert_eq!(kept, expected);
         disk.write(&batch).expect("room");
         expected.take(&batch);
--- a/daemon/src/door/call.rs
+++ b/daemon/src/door/call.rs
@@ -11,6 +11,8 @@
     Disable(Id),
     /// This app server may serve again.
     Enable(Id),
+    /// What the book of the fleet says of itself.
+    Book,
     /// Send clients away.
     Drain,
     /// Back to work.
@@ -24,7 +26,7 @@
         let name = words.next().unwrap_or_default();
         let takes_id = match name {
             "disable-server" | "enable-server" => true,
-            "ready" | "drain" | "resume" => false,
+            "ready" | "drain" | "resume" | "book" => false,
             // Quoted with its odd characters escaped, as all that a caller sent.
             _ => return Err(format!("unknown call {name:?}")),
         };
@@ -39,6 +41,7 @@
         Ok(match (name, id) {
             ("disable-server", Some(id)) => Call::Disable(id),
             ("enable-server", Some(id)) => Call::Enable(id),
+            ("book", _) => Call::Book,
             ("drain", _) => Call::Drain,
             ("resume", _) => Call::Resume,
             _ => Call::Ready,
@@ -56,6 +59,7 @@
         assert_eq!(Call::parse("ready"), Ok(Call::Ready));
         assert_eq!(Call::parse("disable-server s-1"), Ok(Call::Disable("s-1".into())));
         assert_eq!(Call::parse("enable-server ü"), Ok(Call::Enable("ü".into())));
+        assert_eq!(Call::parse("book"), Ok(Call::Book));
         assert_eq!((Call::parse("drain"), Call::parse("resume")), (Ok(Call::Drain), Ok(Call::Resume)));
         for (line, why) in [
             ("", "unknown call \"\""),
--- a/daemon/src/door/mod.rs
+++ b/daemon/src/door/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use gradepaddle::Id;
+use gradepaddle_book::Outcome;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
@@ -18,6 +19,7 @@
 use tracing::{info, warn};
 
 use crate::clock::Clock;
+use crate::fleet::Book;
 use crate::handover::Handover;
 use crate::mail;
 use crate::phase::Phase;
@@ -45,6 +47,8 @@
     pub phase: Rc<Phase>,
     /// Where bans are written down, if anywhere.
     pub handover: Option<Rc<Handover>>,
+    /// The book of the fleet, where there is one: bans hold at all balancers then.
+    pub book: Option<Book>,
 }
 
 /// The callers that are there, in the order in which they came; told to go by their notice.
@@ -111,6 +115,8 @@
         Ok(call) => {
             let answer = carry_out(&call, context).await;
             match &answer {
+                // A question changes nothing, and may come often.
+                Ok(_) if call == Call::Book => {}
                 Ok(effect) => info!(?call, effect, "operator's call"),
                 Err(why) => warn!(?call, why, "operator's call: not carried out"),
             }
@@ -162,6 +168,10 @@
         Call::Ready if duty.is_drained() => Err("not ready: drained".into()),
         Call::Ready if !*context.ready.borrow() => Err("not ready: starting".into()),
         Call::Ready => Ok("ready".into()),
+        Call::Book => match &context.book {
+            Some(book) => Ok(book.view()),
+            None => Err("no book is kept: GRADEPADDLE_FLEET names no fleet file".into()),
+        },
         Call::Disable(id) => ban(id, true, context).await,
         Call::Enable(id) => ban(id, false, context).await,
         Call::Drain => {
@@ -179,11 +189,30 @@
     if !context.decision.knows(id.clone()).await {
         return Err(format!("{id:?} was never listed"));
     }
-    // Written down first: what has been said yes to must outlast this process.
-    if let Some(handover) = &context.handover {
-        handover.ban(id, out.then(|| context.clock.now()))?;
-    }
-    let fresh = context.decision.ban(id.clone(), out).await;
+    let since = out.then(|| context.clock.now());
+    let fresh = match &context.book {
+        Some(book) => {
+            // A ban holds here at once; it ends here when it ends for all, by the book.
+            if out {
+                context.decision.ban(id.clone(), true).await;
+            }
+            let outcome = book.ban(id, since).await.map_err(|why| match out {
+                true => format!("{id} is out at this balancer, but not known to be at others: {why}"),
+                false => format!("{id} is not known to serve again: {why}"),
+            })?;
+            if !out {
+                context.decision.ban(id.clone(), false).await;
+            }
+            outcome == Outcome::Changed
+        }
+        None => {
+            // Written down first: what has been said yes to must outlast this process.
+            if let Some(handover) = &context.handover {
+                handover.ban(id, since)?;
+            }
+            context.decision.ban(id.clone(), out).await
+        }
+    };
     Ok(match (out, fresh) {
         (true, true) => format!("{id} is out"),
         (true, false) => format!("{id} was out already"),
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -10,6 +10,7 @@
 mod decision;
 mod door;
 mod duty;
+mod fleet;
 mod handover;
 mod http;
 mod idling;
@@ -40,6 +41,7 @@
 use crate::clock::Clock;
 use crate::config::{Config, Occasion};
 use crate::decision::{Decision, Known};
+use crate::fleet::Book;
 use crate::handover::Handover;
 use crate::idling::Idling;
 use crate::phase::Phase;
@@ -182,6 +184,20 @@
         }
         spawn_local(handover.clone().run(decision.clone(), budget.clone(), phase.clone()));
     }
+    let book = match variable("GRADEPADDLE_FLEET") {
+        Some(path) => {
+            let book = Book::open(path.as_ref(), &config.name, config.seed, config.deployment.peers).await;
+            Some(book.map_err(|e| format!("GRADEPADDLE_FLEET: {e}"))?)
+        }
+        None => None,
+    };
+    if let Some(book) = book.clone() {
+        let decision = decision.clone();
+        spawn_local(book.follow(move |server, since| {
+            info!(server, out = since.is_some(), "book: ban made or ended");
+            decision.heed_ban(server.into(), since);
+        }));
+    }
     let mut listing = spawn_local(listing.run(list, asks));
     let (alive, mut ended) = mpsc::channel(1);
     let deployment = config.deployment.clone();
@@ -203,8 +219,8 @@
     info!(name = config.name, listen = %address, discovery = %config.discovery, "started");
     if let Some(door) = door {
         info!(admin_addr = %door.local_addr().map_err(|e| e.to_string())?, "operators' door open");
-        let (phase, handover) = (phase.clone(), handover.clone());
-        let context = door::Context { decision: calls, ready: watched, clock, phase, handover };
+        let (phase, handover, book) = (phase.clone(), handover.clone(), book.clone());
+        let context = door::Context { decision: calls, ready: watched, clock, phase, handover, book };
         spawn_local(door::run(door, Rc::new(context)));
     }
     debug!(settings = ?config.deployment, sockets = config.sockets, "told");
@@ -224,6 +240,10 @@
             })
             .await;
         }
+        if let Some(book) = book {
+            // One that is cut off serves all the same: by the list, with the bans that it was told here.
+            book.told(HEAR).await;
+        }
         info!(app_servers = known.borrow().named, older, "ready");
         ready.send_replace(true);
         if let Some(handover) = entered {
--- /dev/null
+++ b/daemon/tests/fleet/book.rs
@@ -0,0 +1,159 @@
+//! The book of the fleet, kept by real processes while they are killed, lose their disks and are cut off. Each step waits for
+//! what the processes say of themselves.
+
+use std::path::PathBuf;
+
+use gradepaddle_standins::council::{Council, SERVER};
+use gradepaddle_standins::on_one_thread;
+use serde_json::Value;
+
+async fn council(processes: usize, keepers: usize) -> Council {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_gradepaddle"));
+    let council = Council::start(program, processes, keepers).await.expect("they start");
+    let all: Vec<usize> = (0..keepers).collect();
+    council
+        .until("all keepers to take part", &all, |view| {
+            view["voters"].as_array().map(Vec::len) == Some(keepers)
+        })
+        .await;
+    council
+}
+
+fn out(view: &Value, server: &str) -> bool {
+    view["out"].as_array().is_some_and(|out| out.iter().any(|id| id == server))
+}
+
+async fn disable(council: &Council, place: usize) {
+    council.succeeds(place, &format!("disable-server {SERVER}")).await;
+}
+
+async fn all_hold(council: &Council, places: &[usize]) {
+    council.until("the ban", places, |view| out(view, SERVER)).await;
+}
+
+/// Guards a ban that holds at one balancer only: told at a reader it holds at keepers and readers, by what they answer,
+/// and so does its end.
+#[test]
+fn a_ban_told_at_one_holds_at_all_and_so_does_its_end() {
+    on_one_thread(async {
+        let council = council(5, 3).await;
+        assert_eq!(council.asks(0, 1).await.expect("an answer"), 200);
+        disable(&council, 4).await;
+        all_hold(&council, &[0, 1, 2, 3, 4]).await;
+        for place in 0..5 {
+            council.answers(place, 503).await;
+        }
+        assert_eq!(
+            council.call(1, &format!("disable-server {SERVER}")).await.expect("an answer"),
+            format!("SUCCESS {SERVER} was out already")
+        );
+        council.succeeds(1, &format!("enable-server {SERVER}")).await;
+        council.until("the end of the ban", &[0, 1, 2, 3, 4], |view| !out(view, SERVER)).await;
+        for place in 0..5 {
+            council.answers(place, 200).await;
+        }
+    });
+}
+
+/// Guards what was acknowledged against the loss of every machine that was there at first, one after the other, each with
+/// its disk.
+#[test]
+fn all_machines_are_lost_with_their_disks_one_after_the_other() {
+    on_one_thread(async {
+        let mut council = council(4, 3).await;
+        disable(&council, 3).await;
+        for place in 0..3 {
+            let others: Vec<usize> = (0..3).filter(|other| *other != place).collect();
+            council.kill(place).await.expect("it ends");
+            council.empty(place).expect("a disk");
+            council.start_places(&[place]).await.expect("it starts");
+            // Amid the change the one that is replaced counts too, and no other may be missing.
+            let back = |view: &Value| {
+                let voters = view["voters"].as_array().map(Vec::len);
+                let learners = view["learners"].as_array().map(Vec::len);
+                voters == Some(3) && learners == Some(0) && view["changing"] == false
+            };
+            council.until("its place among the voters", &[place], back).await;
+            council.until("its place among the voters", &others, back).await;
+            all_hold(&council, &[0, 1, 2, 3]).await;
+        }
+        // And the book still takes what is written.
+        council.succeeds(0, &format!("enable-server {SERVER}")).await;
+        council.until("the end of the ban", &[0, 1, 2, 3], |view| !out(view, SERVER)).await;
+    });
+}
+
+/// Guards against a leader that is lost with what it has acknowledged, and one that comes back with less.
+#[test]
+fn the_leader_is_killed_again_and_again() {
+    on_one_thread(async {
+        let mut council = council(4, 3).await;
+        for round in 0..3 {
+            let leader = council.leader(&[0, 1, 2]).await;
+            let (verb, holds) = if round % 2 == 0 { ("disable", true) } else { ("enable", false) };
+            council.succeeds(3, &format!("{verb}-server {SERVER}")).await;
+            council.kill(leader).await.expect("it ends");
+            let others: Vec<usize> = (0..3).filter(|other| *other != leader).collect();
+            council.leader(&others).await;
+            council.until("what was acknowledged", &others, |view| out(view, SERVER) == holds).await;
+            council.start_places(&[leader]).await.expect("it starts");
+            council
+                .until("what was acknowledged", &[leader], |view| {
+                    view["revision"].as_u64() > Some(0) && out(view, SERVER) == holds
+                })
+                .await;
+        }
+    });
+}
+
+/// Guards against two books: with the leader cut off in the minority its side confirms nothing, the other side does, and
+/// once healed all hold the same.
+#[test]
+fn a_leader_in_the_minority_confirms_nothing() {
+    on_one_thread(async {
+        let council = council(5, 5).await;
+        let leader = council.leader(&[0, 1, 2, 3, 4]).await;
+        let few = [leader, (leader + 1) % 5];
+        let many: Vec<usize> = (0..5).filter(|place| !few.contains(place)).collect();
+        council.part(&few, &many);
+        council.leader(&many).await;
+        let said = council.call(leader, &format!("disable-server {SERVER}")).await.expect("an answer");
+        assert!(said.starts_with(&format!("FAILURE {SERVER} is out at this balancer")), "{said}");
+        assert_eq!(council.asks(leader, 1).await.expect("an answer"), 503, "it holds where it was told");
+        let said = council.succeeds(many[0], &format!("disable-server {SERVER}")).await;
+        assert_eq!(said, format!("SUCCESS {SERVER} is out"));
+        all_hold(&council, &many).await;
+        assert!(!out(&council.view(few[1]).await, SERVER), "nothing has passed");
+        council.heal();
+        all_hold(&council, &[0, 1, 2, 3, 4]).await;
+    });
+}
+
+/// Guards what was acknowledged against the end of all keepers at once, and a leader that is paused for longer than the
+/// others wait against a second book.
+#[test]
+fn all_keepers_end_at_once_and_a_paused_leader_follows_when_it_is_let_go() {
+    on_one_thread(async {
+        let mut council = council(4, 3).await;
+        disable(&council, 3).await;
+        for place in 0..3 {
+            council.kill(place).await.expect("it ends");
+        }
+        assert_eq!(
+            council.asks(3, 1).await.expect("an answer"),
+            503,
+            "a reader that is cut off keeps what it knew"
+        );
+        council.start_places(&[0, 1, 2]).await.expect("they start");
+        let leader = council.leader(&[0, 1, 2]).await;
+        all_hold(&council, &[0, 1, 2]).await;
+        council.process(leader).pause().expect("a process");
+        let others: Vec<usize> = (0..3).filter(|other| *other != leader).collect();
+        council.leader(&others).await;
+        council.succeeds(others[0], &format!("enable-server {SERVER}")).await;
+        council.process(leader).resume().expect("a process");
+        council.until("the end of the ban", &[0, 1, 2, 3], |view| !out(view, SERVER)).await;
+        // It may take itself for the leader until it hears of the other.
+        council.until("a leader that gives way", &[leader], |view| view["leads"] == false).await;
+    });
+}
--- a/daemon/tests/fleet/main.rs
+++ b/daemon/tests/fleet/main.rs
@@ -1,6 +1,8 @@
 //! Many processes of the daemon while pieces break: what becomes of each request is judged from the books of those round
 //! them. Nothing here waits for time to pass; each step waits for what the books are to show.
 
+mod book;
+
 use std::path::PathBuf;
 use std::time::Duration;
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -120,6 +120,8 @@
     #[serde(default)]
     probes: bool,
     #[serde(default)]
+    peers: bool,
+    #[serde(default)]
     second_copies: bool,
     try_limit: Option<u32>,
     max_retry_after_ms: Option<f64>,
@@ -170,6 +172,8 @@
     pub drain_grace: Micros,
     /// Servers report their load.
     pub reports: bool,
+    /// Balancers may talk with each other.
+    pub peers: bool,
 }
 
 impl Config {
@@ -188,6 +192,7 @@
             dial_timeout: micros(limits.dial_timeout_ms),
             drain_grace: micros(self.rules.drain_grace_ms),
             reports: !matches!(self.report.via.as_str(), "" | "off"),
+            peers: limits.peers,
         })
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod books;
 pub mod broken;
 pub mod clients;
+pub mod council;
 pub mod discovery;
 pub mod fleet;
 pub mod front;
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -22,6 +22,10 @@
     pub number: usize,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub door: Option<SocketAddr>,
+    /// Where the others of its fleet reach it, if it keeps the book.
+    pub fleet: Option<SocketAddr>,
     id: Pid,
     ledger: Ledger,
     folder: TempDir,
@@ -35,6 +39,17 @@
     /// Starts the program at this path and waits until it is ready. `config` is what its file holds; the address that
     /// it listens on is of its own choice.
     pub async fn start(program: &Path, number: usize, config: &Value, ledger: Ledger) -> io::Result<Process> {
+        Self::start_with(program, number, config, ledger, &[]).await
+    }
+
+    /// The same with more in its environment.
+    pub async fn start_with(
+        program: &Path,
+        number: usize,
+        config: &Value,
+        ledger: Ledger,
+        more: &[(&str, String)],
+    ) -> io::Result<Process> {
         let folder = tempfile::tempdir()?;
         let path: PathBuf = folder.path().join("config.json");
         std::fs::write(&path, config.to_string())?;
@@ -42,6 +57,7 @@
             .env_clear()
             .env("RELAY_CONFIG", &path)
             .env("TMPDIR", folder.path())
+            .envs(more.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .kill_on_drop(true)
@@ -52,11 +68,12 @@
         let (says, said) = oneshot::channel();
         let books = ledger.clone();
         spawn_local(follow(child, output, number, says, books));
-        let address = match tokio::time::timeout(PATIENCE, said).await {
-            Ok(Ok(address)) => address,
+        let [address, door, fleet] = match tokio::time::timeout(PATIENCE, said).await {
+            Ok(Ok([Some(address), door, fleet])) => [Some(address), door, fleet],
             _ => return Err(other(format!("process {number} does not get ready"))),
         };
-        Ok(Process { number, address, id, ledger, folder })
+        let address = address.ok_or_else(|| other("no address"))?;
+        Ok(Process { number, address, door, fleet, id, ledger, folder })
     }
 
     /// Its process id.
@@ -119,25 +136,30 @@
     }
 }
 
+/// Where it listens, where operators call, and where its fleet does, as its log names them.
+type Named = [Option<SocketAddr>; 3];
+
 /// Reads what a process says until it ends, and waits for it.
 async fn follow(
     mut child: Child,
     output: tokio::process::ChildStdout,
     number: usize,
-    says: oneshot::Sender<SocketAddr>,
+    says: oneshot::Sender<Named>,
     ledger: Ledger,
 ) {
     let mut lines = BufReader::new(output).lines();
-    let (mut says, mut listens) = (Some(says), None);
+    let (mut says, mut named) = (Some(says), Named::default());
     while let Ok(Some(line)) = lines.next_line().await {
-        let named = line.split("listen=").nth(1).and_then(|rest| rest.split(' ').next());
-        listens = listens.or(named.and_then(|text| text.parse().ok()));
+        for (field, address) in ["listen=", "admin_addr=", "fleet_addr="].into_iter().zip(&mut named) {
+            let text = line.split(field).nth(1).and_then(|rest| rest.split(' ').next());
+            *address = address.or(text.and_then(|text| text.parse().ok()));
+        }
         if line.contains(" ready ")
-            && let (Some(says), Some(address)) = (says.take(), listens)
+            && let Some(says) = says.take()
         {
             ledger.write(Fact::Turned { process: number, turn: Turn::Ready });
             // Nobody may wait for it any more.
-            let _ = says.send(address);
+            let _ = says.send(named);
         }
     }
     let status = child.wait().await.ok().and_then(|status| status.code());
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -30,6 +30,8 @@
 struct State {
     there: Way,
     back: Way,
+    /// Where it leads, if anywhere yet.
+    target: Option<SocketAddr>,
     /// Counts resets: connections from before the last one end.
     resets: u32,
 }
@@ -45,17 +47,29 @@
 impl Link {
     /// One that leads there, with no fault yet.
     pub async fn to(target: SocketAddr) -> io::Result<Link> {
+        let link = Self::unaimed().await?;
+        link.aim(target);
+        Ok(link)
+    }
+
+    /// One that leads nowhere yet: it ends what is dialled.
+    pub async fn unaimed() -> io::Result<Link> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let (state, states) = watch::channel(State { there: CLEAR, back: CLEAR, resets: 0 });
+        let (state, states) = watch::channel(State { there: CLEAR, back: CLEAR, target: None, resets: 0 });
         let accepts = spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                spawn_local(pass(stream, target, states.clone()));
+                spawn_local(pass(stream, states.clone()));
             }
         });
         Ok(Link { address, state, accepts })
     }
 
+    /// Leads there from now on; what is open stays.
+    pub fn aim(&self, target: SocketAddr) {
+        self.state.send_modify(|state| state.target = Some(target));
+    }
+
     /// What holds from now on towards the target and back, for open connections too.
     pub fn set(&self, there: Way, back: Way) {
         self.state.send_modify(|state| (state.there, state.back) = (there, back));
@@ -74,8 +88,9 @@
     }
 }
 
-async fn pass(near: TcpStream, target: SocketAddr, mut states: watch::Receiver<State>) {
-    let since = states.borrow().resets;
+async fn pass(near: TcpStream, mut states: watch::Receiver<State>) {
+    let State { resets: since, target, .. } = *states.borrow();
+    let Some(target) = target else { return end(&near) };
     // A target that is not there refuses; so does the link, as far as it still can.
     let Ok(far) = TcpStream::connect(target).await else { return end(&near) };
     if near.set_nodelay(true).and(far.set_nodelay(true)).is_err() {
