--- a/book/src/keeper.rs
+++ b/book/src/keeper.rs
@@ -109,7 +109,7 @@
         needed: usize,
     },
     /// It is too long.
-    #[error("a write of {0} bytes, over {LONGEST}; say less in one")]
+    #[error("a write of {0} bytes, over {LONGEST}; say it in several writes")]
     TooLong(usize),
     /// The kind is not known here.
     #[error("content of kind {0} is not known to this keeper; finish the roll-out first")]
--- a/daemon/src/fleet/keeper.rs
+++ b/daemon/src/fleet/keeper.rs
@@ -18,6 +18,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use tracing::{info, warn};
 
+use super::crash::Crash;
 use super::file::Named;
 use super::line::{Line, LineError, PULSE, Packet};
 use super::{Answers, Common};
@@ -72,6 +73,7 @@
 struct Actor {
     keeper: Keeper,
     common: Rc<Common>,
+    crash: Crash,
     blank: bool,
     own: Rc<RefCell<Hello>>,
     fresh: Rc<Cell<bool>>,
@@ -131,6 +133,7 @@
     let mut actor = Actor {
         keeper,
         common,
+        crash: Crash::told(),
         blank,
         own,
         fresh,
@@ -237,7 +240,10 @@
                 Err(why @ MessageError::OldDisk { .. }) => return Err(StepDown::Message(why)),
                 Err(why) => self.common.once(why.to_string()),
             },
-            Event::Kept(Ok(number)) => self.keeper.kept(number),
+            Event::Kept(Ok(number)) => {
+                self.pass("after-disk");
+                self.keeper.kept(number);
+            }
             Event::Kept(Err(why)) => return Err(why.into()),
             Event::Write(write, answers) => self.write(write, answers),
             Event::Follow(answers) => {
@@ -260,7 +266,14 @@
         }
     }
 
+    fn pass(&self, point: &str) {
+        if self.keeper.stand().leads {
+            self.crash.pass(point);
+        }
+    }
+
     fn keep(&self, batch: Batch) {
+        self.pass("before-disk");
         // The thread ends only after a failure, which it has told.
         let _ = self.disk.send(batch);
     }
@@ -280,6 +293,7 @@
                     self.common.changed();
                 }
                 Output::Done { session, number, outcome } => {
+                    self.pass("before-answer");
                     if let Some(answers) = self.waiting.remove(&(session, number)) {
                         tell(&answers, Packet::Done { number, outcome });
                     }
--- a/daemon/src/fleet/mod.rs
+++ b/daemon/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The book of the fleet in this process: keeper or reader, its bans, and what it says of itself. Off unless a fleet file
 //! is named. What it is for, and the ways weighed, stand in `docs/fleet-book.md`.
 
+mod crash;
 mod file;
 mod keeper;
 mod line;
--- a/daemon/tests/fleet/book.rs
+++ b/daemon/tests/fleet/book.rs
@@ -157,3 +157,41 @@
         council.until("a leader that gives way", &[leader], |view| view["leads"] == false).await;
     });
 }
+
+/// Guards what was acknowledged against a leader that ends at any point between proposal, disk and answer: bans are made
+/// and ended while leaders end there one after the other, and what was last acknowledged holds at all.
+#[test]
+fn leaders_end_at_each_point_between_disk_and_answer() {
+    for point in ["before-disk", "after-disk", "before-answer"] {
+        on_one_thread(async {
+            let program = PathBuf::from(env!("CARGO_BIN_EXE_gradepaddle"));
+            // Behind the founding, which is some twenty of them.
+            let count = if point == "before-answer" { 2 } else { 30 };
+            let more = [("GRADEPADDLE_CRASH", format!("{point}:{count}"))];
+            let mut council = Council::start_with(program, 4, 3, &more).await.expect("they start");
+            council.more.clear();
+            let (mut ended, mut holds) = (0, false);
+            for _ in 0..200 {
+                holds = !holds;
+                let verb = if holds { "disable" } else { "enable" };
+                // Two may end on the way of one write: they come back before it is asked for again.
+                let mut confirmed = false;
+                while !confirmed {
+                    let line = format!("{verb}-server {SERVER}");
+                    confirmed = council.call(3, &line).await.expect("an answer").starts_with("SUCCESS");
+                    for place in 0..3 {
+                        if council.has_ended(place) {
+                            ended += 1;
+                            council.start_places(&[place]).await.expect("it starts");
+                        }
+                    }
+                }
+                if ended > 0 && holds {
+                    break;
+                }
+            }
+            assert!(ended > 0, "no leader ended {point}");
+            all_hold(&council, &[0, 1, 2, 3]).await;
+        });
+    }
+}
--- a/standins/src/council.rs
+++ b/standins/src/council.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use crate::books::Turn;
 use crate::process::Process;
 use crate::relay::{CLEAR, Link, Way};
 use crate::server::{AppServer, Make};
@@ -34,12 +35,23 @@
     /// From a place to a keeper.
     links: Rc<BTreeMap<(usize, usize), Link>>,
     numbers: usize,
-    more: Vec<(&'static str, String)>,
+    /// More for the environment of those that are started.
+    pub more: Vec<(&'static str, String)>,
 }
 
 impl Council {
     /// Starts so many processes at once, the first `keepers` of them as keepers, and waits until they are ready.
     pub async fn start(program: PathBuf, processes: usize, keepers: usize) -> io::Result<Council> {
+        Self::start_with(program, processes, keepers, &[]).await
+    }
+
+    /// The same with more in their environment; those that are started later have it only as [`Council::more`] then says.
+    pub async fn start_with(
+        program: PathBuf,
+        processes: usize,
+        keepers: usize,
+        more: &[(&'static str, String)],
+    ) -> io::Result<Council> {
         let ledger = Ledger::default();
         let server = AppServer::start(0, Make::default(), ledger.clone()).await?;
         let mut links = BTreeMap::new();
@@ -49,6 +61,7 @@
             }
         }
         let homes = (0..processes).map(|_| tempfile::tempdir()).collect::<io::Result<_>>()?;
+        let more = more.to_vec();
         let mut council = Council {
             ledger,
             program,
@@ -58,7 +71,7 @@
             homes,
             links: Rc::new(links),
             numbers: 0,
-            more: Vec::new(),
+            more,
         };
         council.start_places(&(0..processes).collect::<Vec<_>>()).await?;
         Ok(council)
@@ -133,9 +146,10 @@
         })
     }
 
-    /// More for the environment of the processes that are started from now on.
-    pub fn environ(&mut self, name: &'static str, value: &str) {
-        self.more.push((name, value.to_owned()));
+    /// True if the process at a place has ended, by itself or by the rig.
+    pub fn has_ended(&self, place: usize) -> bool {
+        let turn = |of: &Process| self.ledger.read(|books| books.last_turn(of.number));
+        self.processes[place].as_ref().is_none_or(|of| matches!(turn(of), Some(Turn::Ended(_))))
     }
 
     /// The process at a place.
