Let a keeper whose disk is old or broken step down, say so, and read the book

Need: a balancer must serve whatever its book's disk is like; before, a disk that could not be opened kept it from starting, and one that stepped down knew nothing more.

Change: such a keeper ends its connections as one, says why in 'book', and follows the others as a reader. A stranger's noise, forged and replayed frames are tried on real keepers.

--- a/daemon/src/fleet/keeper.rs
+++ b/daemon/src/fleet/keeper.rs
@@ -14,9 +14,9 @@
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
+use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, sleep};
-use tracing::{info, warn};
+use tracing::info;
 
 use super::crash::Crash;
 use super::file::Named;
@@ -90,14 +90,10 @@
     listener: TcpListener,
     disk: (Disk, Kept),
     common: Rc<Common>,
-    writes: mpsc::Receiver<(Write, Answers)>,
+    writes: &mut mpsc::Receiver<(Write, Answers)>,
 ) -> StepDown {
     let why = keep(listener, disk, common.clone(), writes).await;
-    warn!("book: this keeper steps down: {why}");
-    common.say(|view| {
-        view.fault = Some(why.to_string());
-        view.leads = false;
-    });
+    common.steps_down(&why.to_string());
     why
 }
 
@@ -110,7 +106,7 @@
     listener: TcpListener,
     (disk, kept): (Disk, Kept),
     common: Rc<Common>,
-    mut writes: mpsc::Receiver<(Write, Answers)>,
+    writes: &mut mpsc::Receiver<(Write, Answers)>,
 ) -> StepDown {
     let blank = kept.is_empty();
     let names: Vec<String> = common.file.keepers.iter().map(|keeper| keeper.name.clone()).collect();
@@ -123,13 +119,15 @@
     let (events, mut inbox) = mpsc::channel(4 * QUEUE);
     let own = Rc::new(RefCell::new(keeper.hello(&common.name)));
     let fresh = Rc::new(Cell::new(false));
+    // They end with the actor: one that has stepped down is nobody's peer.
+    let mut tasks = JoinSet::new();
     let mut peers = BTreeMap::new();
     for named in common.file.keepers.iter().filter(|named| named.name != common.name) {
         let (mailbox, packets) = mpsc::channel(QUEUE);
         peers.insert(named.name.clone(), mailbox);
-        spawn_local(dial(named.clone(), common.clone(), own.clone(), packets, events.clone()));
+        tasks.spawn_local(dial(named.clone(), common.clone(), own.clone(), packets, events.clone()));
     }
-    spawn_local(accept(listener, common.clone(), own.clone(), fresh.clone(), events.clone()));
+    tasks.spawn_local(accept(listener, common.clone(), own.clone(), fresh.clone(), events.clone()));
     let mut actor = Actor {
         keeper,
         common,
@@ -370,7 +368,9 @@
     fresh: Rc<Cell<bool>>,
     events: mpsc::Sender<Event>,
 ) {
+    let mut callers = JoinSet::new();
     loop {
+        while callers.try_join_next().is_some() {}
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
@@ -380,7 +380,7 @@
             }
         };
         let (common, own, fresh, events) = (common.clone(), own.clone(), fresh.clone(), events.clone());
-        spawn_local(async move {
+        callers.spawn_local(async move {
             match caller(stream, &common, &own, &fresh, &events).await {
                 Ok(()) | Err(LineError::Ended | LineError::Broken(_)) => {}
                 Err(why) => common.once(format!("a caller: {why}")),
--- a/daemon/src/fleet/mod.rs
+++ b/daemon/src/fleet/mod.rs
@@ -14,7 +14,6 @@
 use std::time::Duration;
 
 use gradepaddle_book::bans::{self, Ban, Bans, Held, Shown};
-use gradepaddle_book::store::StoreError;
 use gradepaddle_book::{Content, Outcome, Stand, Write};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -47,9 +46,6 @@
     /// The fleet file.
     #[error(transparent)]
     File(#[from] FileError),
-    /// This keeper's disk.
-    #[error(transparent)]
-    Store(#[from] StoreError),
     /// The address where this keeper is to be reached.
     #[error("listen: {0}: {1}; see who else listens there, or name another address in the fleet file")]
     Listen(std::net::SocketAddr, std::io::Error),
@@ -145,6 +141,14 @@
         change(&mut self.view.borrow_mut());
     }
 
+    /// This keeper does not go on, for this reason; it reads from now on.
+    fn steps_down(&self, why: &str) {
+        warn!("book: this keeper steps down: {why}");
+        self.say(|view| {
+            (view.role, view.leads, view.fault) = ("reader", false, Some(why.to_owned()));
+        });
+    }
+
     /// Logs a complaint, the first time that it comes up.
     fn once(&self, what: String) {
         let mut complaints = self.complaints.borrow_mut();
@@ -214,17 +218,29 @@
             complaints: RefCell::default(),
         });
         let (asks, asked) = mpsc::channel(QUEUE);
-        let (writes, given) = mpsc::channel(QUEUE);
+        let (writes, mut given) = mpsc::channel(QUEUE);
+        let mut keeps_with = None;
         if let Some((listen, disk)) = keeps {
-            let disk = keeper::open(&disk, common.draw().max(1))?;
-            let listener = TcpListener::bind(listen).await.map_err(|e| FleetError::Listen(listen, e))?;
-            let at = listener.local_addr().map_err(|e| FleetError::Listen(listen, e))?;
-            info!(fleet_addr = %at, "book: keeper listens");
-            spawn_local(keeper::run(listener, disk, common.clone(), given));
-        } else {
-            info!(keepers = common.file.keepers.len(), "book: reader");
-            spawn_local(reader::run(common.clone(), given));
+            match keeper::open(&disk, common.draw().max(1)) {
+                Ok(disk) => {
+                    let listener =
+                        TcpListener::bind(listen).await.map_err(|e| FleetError::Listen(listen, e))?;
+                    let at = listener.local_addr().map_err(|e| FleetError::Listen(listen, e))?;
+                    info!(fleet_addr = %at, "book: keeper listens");
+                    keeps_with = Some((listener, disk));
+                }
+                // The balancer serves all the same, by what the other keepers tell.
+                Err(why) => common.steps_down(&why.to_string()),
+            }
         }
+        let of = common.clone();
+        spawn_local(async move {
+            if let Some((listener, disk)) = keeps_with {
+                keeper::run(listener, disk, of.clone(), &mut given).await;
+            }
+            info!(keepers = of.file.keepers.len(), "book: reader");
+            reader::run(of, &mut given).await;
+        });
         spawn_local(write_in_turn(common.clone(), asked, writes));
         Ok(Book { common, asks, changes: seen })
     }
--- a/daemon/src/fleet/reader.rs
+++ b/daemon/src/fleet/reader.rs
@@ -27,13 +27,15 @@
 }
 
 /// Follows the keepers, one after the other, for as long as the process lasts.
-pub async fn run(common: Rc<Common>, mut writes: mpsc::Receiver<(Write, Answers)>) {
+pub async fn run(common: Rc<Common>, writes: &mut mpsc::Receiver<(Write, Answers)>) {
     let keepers = &common.file.keepers;
     let mut ledger = Ledger::new(common.contents());
     // All begin at different ones, or the first would have them all.
     let first = common.draw() as usize % keepers.len();
-    for keeper in keepers.iter().cycle().skip(first) {
-        let Err(why) = follow(keeper, &common, &mut ledger, &mut writes).await else { return };
+    // A keeper that has stepped down does not follow itself.
+    let others = keepers.iter().filter(|keeper| keeper.name != common.name);
+    for keeper in others.cycle().skip(first) {
+        let Err(why) = follow(keeper, &common, &mut ledger, writes).await else { return };
         common.once(format!("keeper {}: {why}", keeper.name));
         sleep(AGAIN).await;
     }
--- a/daemon/tests/fleet/book.rs
+++ b/daemon/tests/fleet/book.rs
@@ -3,9 +3,12 @@
 
 use std::path::PathBuf;
 
+use gradepaddle_book::frame::{Key, Seal, Session};
 use gradepaddle_standins::council::{Council, SERVER};
 use gradepaddle_standins::on_one_thread;
 use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 async fn council(processes: usize, keepers: usize) -> Council {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_gradepaddle"));
@@ -195,3 +198,83 @@
         });
     }
 }
+
+/// Guards the book against a keeper whose disk is not what it was: an old copy that is put back, or a file that is none. It
+/// says so and takes no part, but its balancer serves, reads the book, and comes back with an empty disk.
+#[test]
+fn a_keeper_with_a_disk_that_is_old_or_broken_steps_down_and_reads() {
+    on_one_thread(async {
+        let mut council = council(4, 3).await;
+        let leader = council.leader(&[0, 1, 2]).await;
+        let place = (leader + 1) % 3;
+        council.kill(place).await.expect("it ends");
+        let old = council.copy_of(place).expect("a disk");
+        council.start_places(&[place]).await.expect("it starts");
+        disable(&council, 3).await;
+        council.succeeds(3, &format!("enable-server {SERVER}")).await;
+        disable(&council, 3).await;
+        all_hold(&council, &[0, 1, 2, 3]).await;
+        for (disk, says) in [(&old[..], "an old copy"), (b"no disk of ours", "can not be opened")] {
+            council.kill(place).await.expect("it ends");
+            council.put_back(place, disk).expect("a folder");
+            council.start_places(&[place]).await.expect("it starts");
+            let told = |view: &Value| view["fault"].as_str().is_some_and(|fault| fault.contains(says));
+            council.until("its fault", &[place], told).await;
+            council
+                .until("what others tell", &[place], |view| view["role"] == "reader" && out(view, SERVER))
+                .await;
+            council.answers(place, 503).await;
+        }
+        council.kill(place).await.expect("it ends");
+        council.empty(place).expect("a disk");
+        council.start_places(&[place]).await.expect("it starts");
+        council
+            .until("its place", &[place], |view| {
+                view["role"] == "keeper" && view["voters"].as_array().map(Vec::len) == Some(3)
+            })
+            .await;
+    });
+}
+
+/// Guards keepers against strangers: noise, a length without end, another key, another cluster, a frame of an earlier
+/// connection. Each is hung up on, nothing of it takes effect, and the book goes on.
+#[test]
+fn strangers_are_hung_up_on_and_nothing_of_theirs_takes_effect() {
+    on_one_thread(async {
+        let council = council(4, 3).await;
+        let seal = |cluster: &str, byte| {
+            let keys = vec![Key { id: 1, secret: [byte; 32] }];
+            Seal { cluster: cluster.into(), keys }
+        };
+        let framed = |bytes: Vec<u8>| {
+            let length = u32::try_from(bytes.len()).expect("a short frame").to_be_bytes();
+            [&length[..], &bytes].concat()
+        };
+        let greets = |seal| framed(Session::new(seal, "b1", 7).greet().expect("a frame"));
+        // One that has the key, and plays again what was said on another connection.
+        let mut first = Session::new(seal("rig", 0x5a), "b3", 7);
+        let greeting = framed(first.greet().expect("a frame"));
+        let again = [&greeting[..], &framed(first.pack(&3u8).expect("a frame"))].concat();
+        let strangers = [
+            b"GET / HTTP/1.1\r\n\r\n".to_vec(),
+            vec![0xff; 64],
+            framed(vec![1; 200]),
+            greets(seal("rig", 0x11)),
+            greets(seal("other", 0x5a)),
+            again,
+        ];
+        for (at, said) in strangers.iter().enumerate() {
+            for place in 0..3 {
+                let fleet = council.process(place).fleet.expect("a keeper");
+                let mut stream = TcpStream::connect(fleet).await.expect("it listens");
+                stream.write_all(said).await.expect("it reads");
+                let mut heard = Vec::new();
+                // It says who it is, and no more, and hangs up.
+                let end = stream.read_to_end(&mut heard).await;
+                assert!(end.is_err() || heard.len() < 200, "stranger {at} heard {} bytes", heard.len());
+            }
+        }
+        disable(&council, 3).await;
+        all_hold(&council, &[0, 1, 2, 3]).await;
+    });
+}
