--- a/daemon/src/fleet/crash.rs
+++ b/daemon/src/fleet/crash.rs
@@ -12,7 +12,8 @@
 const POINTS: [&str; 3] = ["before-disk", "after-disk", "before-answer"];
 
 impl Crash {
-    /// As `GRADEPADDLE_CRASH` says: a point, a colon, and at which time it is passed while this keeper leads.
+    /// As `GRADEPADDLE_CRASH` says: a point, a colon, and at which time that it is passed. Those of the disk count
+    /// while this keeper leads.
     pub fn told() -> Self {
         #[cfg(debug_assertions)]
         {
@@ -27,7 +28,7 @@
         Crash::default()
     }
 
-    /// This point is passed by a keeper that leads.
+    /// This point is passed.
     #[cfg(debug_assertions)]
     pub fn pass(&self, point: &str) {
         if let Some((at, left)) = self.left.get().filter(|(at, _)| *at == point) {
@@ -38,7 +39,7 @@
         }
     }
 
-    /// This point is passed by a keeper that leads.
+    /// This point is passed.
     #[cfg(not(debug_assertions))]
     pub fn pass(&self, _point: &str) {}
 }
--- a/daemon/src/fleet/keeper.rs
+++ b/daemon/src/fleet/keeper.rs
@@ -291,7 +291,8 @@
                     self.common.changed();
                 }
                 Output::Done { session, number, outcome } => {
-                    self.pass("before-answer");
+                    // Whoever was asked answers, leader or not.
+                    self.crash.pass("before-answer");
                     if let Some(answers) = self.waiting.remove(&(session, number)) {
                         tell(&answers, Packet::Done { number, outcome });
                     }
