Begin nothing for a client that has gone, and let no close cross what it has read

Seen, by reading each place where two events cross: (1) an attempt that was dialling when its client left was written once the dial came up, where settings forbid withdrawing (dispatch told nothing; routed_task.rs looked at the connection before the withdrawal); (2) a client that sent over 8 KiB ahead and went was never seen to go (intake.rs waited for ever); (3) resting connections were closed without an end of sending, so that a request under way reset them (terminal.rs); (4) what was taken from 0.7 to 1.0 s after SIGTERM could be unanswered at SIGKILL, which counts as lost (duty.rs, 1.0 s). Change: dispatch holds back what is not begun (Output::Hold), explored in check/ with a version that does not and is caught; the end of a client is seen behind unread bytes; each close of ours ends sending, reads on for a second, then closes; clients that wait are kept for 0.65 s after SIGTERM, and what is taken then is answered 0.1 s before the end at the latest. Tests: daemon/tests/network/crossings.rs, eight with real connections in the bad order.

--- a/check/src/broken.rs
+++ b/check/src/broken.rs
@@ -46,6 +46,8 @@
     EndedKept,
     /// What the chooser forgets is never answered.
     NoBackstop,
+    /// Attempts begin though their client has gone, where the chooser does not withdraw them.
+    BegunForNobody,
 }
 
 impl Broken {
@@ -77,6 +79,7 @@
             Broken::AnswerAndTimeOut => Property::OneAnswer,
             Broken::EndedKept => Property::NothingKept,
             Broken::NoBackstop => Property::AnsweredInTime,
+            Broken::BegunForNobody => Property::NothingForTheGone,
         })
     }
 
@@ -97,6 +100,7 @@
             }
             Broken::KeyElsewhere => Sizes { classes: vec![crate::sizes::Kind::Keyed], ..one },
             Broken::SentSpent => Sizes { flows: true, classes: vec![crate::sizes::Kind::Unsafe], ..one },
+            Broken::BegunForNobody => Sizes { leaves: 1, classes: vec![crate::sizes::Kind::Unsafe], ..one },
             _ => Sizes { classes: vec![crate::sizes::Kind::Unsafe], ..one },
         }
     }
@@ -130,6 +134,10 @@
         *self != Broken::EndedKept
     }
 
+    fn holds(&self) -> bool {
+        *self != Broken::BegunForNobody
+    }
+
     fn has_backstop(&self) -> bool {
         *self != Broken::NoBackstop
     }
--- a/check/src/property.rs
+++ b/check/src/property.rs
@@ -29,12 +29,14 @@
     /// See [`Property::words`].
     NothingKept,
     /// See [`Property::words`].
+    NothingForTheGone,
+    /// See [`Property::words`].
     NoDefect,
 }
 
 impl Property {
     /// All of them, in the order in which they are reported.
-    pub const ALL: [Property; 12] = [
+    pub const ALL: [Property; 13] = [
         Property::OneAnswer,
         Property::OwnAnswer,
         Property::NoRepeat,
@@ -46,6 +48,7 @@
         Property::HonestRefusal,
         Property::AnsweredInTime,
         Property::NothingKept,
+        Property::NothingForTheGone,
         Property::NoDefect,
     ];
 
@@ -63,6 +66,7 @@
             Property::HonestRefusal => "honest-refusal",
             Property::AnsweredInTime => "answered-in-time",
             Property::NothingKept => "nothing-kept",
+            Property::NothingForTheGone => "nothing-for-the-gone",
             Property::NoDefect => "no-defect",
         }
     }
@@ -98,6 +102,7 @@
             Property::NothingKept => {
                 "nothing is kept of a transaction once it is answered and its attempts ended"
             }
+            Property::NothingForTheGone => "no attempt begins once its client has left",
             Property::NoDefect => "the decisions in service ask for nothing that the guard forbids",
         }
     }
--- a/check/src/world.rs
+++ b/check/src/world.rs
@@ -456,7 +456,13 @@
             Step::Dial(c, a) => self.flight(c, a)?.up = true,
             Step::FirstByte(c, a) => {
                 let (now, grace) = (self.now, case.limits().grace);
-                let server = self.flight(c, a)?.server;
+                let (server, withdrawn) = (self.flight(c, a)?.server, self.flight(c, a)?.withdrawn);
+                if withdrawn {
+                    return self.end(case, c, a, Cause::Withdrawn);
+                }
+                if self.client(c).left {
+                    self.breaks(Property::NothingForTheGone);
+                }
                 let standing = &self.servers[usize::from(server)];
                 if !standing.open && case.broken != Broken::FirstByteUnseen {
                     return self.end(case, c, a, Cause::Closed);
@@ -674,6 +680,12 @@
                     .filter(|f| f.ticket == ticket && f.attempt == attempt)
                     .for_each(|f| f.withdrawn = true);
             }
+            Output::Hold { ticket, attempt } => {
+                let flights = self.flights.iter_mut();
+                flights
+                    .filter(|f| f.ticket == ticket && f.attempt == attempt && f.extent == Extent::Nothing)
+                    .for_each(|f| f.withdrawn = true);
+            }
             Output::Answer { ticket, answer } => {
                 let Some(c) = self.clients.iter().position(|c| c.ticket == Some(ticket) && !c.lost) else {
                     return self.breaks(Property::OneAnswer);
--- a/daemon/src/decision.rs
+++ b/daemon/src/decision.rs
@@ -13,7 +13,7 @@
 use crate::app_server;
 use crate::mail::{Change, Inbox, Mail, Mailbox};
 use crate::probe::Duty;
-use crate::routed_task::{Assignment, Context, Report};
+use crate::routed_task::{Assignment, Context, Report, Wish};
 use crate::service_table;
 use crate::transaction::{FinalAnswer, Message, Reply};
 
@@ -21,13 +21,13 @@
 #[derive(Default)]
 struct Channels {
     answer: Option<oneshot::Sender<FinalAnswer>>,
-    /// By attempt. Sent to, or dropped, each withdraws its attempt.
-    withdraws: Vec<Option<oneshot::Sender<()>>>,
+    /// By attempt. Dropped, each withdraws its attempt.
+    wishes: Vec<Option<watch::Sender<Wish>>>,
 }
 
 impl Channels {
     fn is_done(&self) -> bool {
-        self.answer.is_none() && self.withdraws.iter().all(Option::is_none)
+        self.answer.is_none() && self.wishes.iter().all(Option::is_none)
     }
 }
 
@@ -92,7 +92,7 @@
     fn take(&mut self, mail: Mail) {
         match mail {
             Mail::Asked { ticket, transaction, answer } => {
-                let channels = Channels { answer: Some(answer), withdraws: Vec::new() };
+                let channels = Channels { answer: Some(answer), wishes: Vec::new() };
                 self.channels.insert(ticket, channels);
                 debug!(ticket, class = transaction.class, key = transaction.key, "taken");
                 self.hand_over(Input::Taken { ticket, transaction });
@@ -105,7 +105,7 @@
                         debug!(ticket, attempt, ?extent, ?cause, "ended");
                         let attempt = *attempt as usize;
                         self.over(*ticket, |channels| {
-                            channels.withdraws.get_mut(attempt).map(Option::take);
+                            channels.wishes.get_mut(attempt).map(Option::take);
                         });
                     }
                     _ => {}
@@ -173,22 +173,24 @@
         match output {
             Output::Start { ticket, attempt, server, message, until } => {
                 debug!(ticket, attempt, %server, "attempt");
-                let (withdraw, withdrawn) = oneshot::channel();
+                let (sender, wish) = watch::channel(Wish::Made);
                 let channels = self.channels.entry(ticket).or_default();
-                channels.withdraws.resize_with(attempt as usize, || None);
-                channels.withdraws.push(Some(withdraw));
+                channels.wishes.resize_with(attempt as usize, || None);
+                channels.wishes.push(Some(sender));
                 let report = Report::new(self.mailbox.clone(), ticket, attempt);
                 // An assignment that nobody takes tells its end by itself.
-                command(
-                    &server,
-                    app_server::Command::Start(Assignment { message, until, withdrawn, report }),
-                );
+                command(&server, app_server::Command::Start(Assignment { message, until, wish, report }));
             }
             Output::Withdraw { ticket, attempt } => self.over(ticket, |channels| {
-                let withdraw = channels.withdraws.get_mut(attempt as usize).and_then(Option::take);
+                let wish = channels.wishes.get_mut(attempt as usize).and_then(Option::take);
                 // It may have ended at this moment.
-                let _ = withdraw.map(|withdraw| withdraw.send(()));
+                let _ = wish.map(|wish| wish.send(Wish::Withdrawn));
             }),
+            Output::Hold { ticket, attempt } => {
+                let channels = self.channels.get(&ticket);
+                let wish = channels.and_then(|channels| channels.wishes.get(attempt as usize)?.as_ref());
+                let _ = wish.map(|wish| wish.send(Wish::NotBegun));
+            }
             Output::Answer { ticket, answer } => {
                 debug!(ticket, answer = answer.name(), "answer");
                 self.over(ticket, |channels| {
--- a/daemon/src/duty.rs
+++ b/daemon/src/duty.rs
@@ -8,11 +8,13 @@
 /// So long after the call a drained balancer closes idle connections and takes nothing more. With the 2 s that
 /// a request may take afterwards it is free of clients in 4 s.
 const DRAINED: Micros = 1_800_000;
-/// After SIGTERM, the front goes on sending for a while, so that long all is accepted and answered.
-const LEAVE: Micros = 1_000_000;
-/// With an heir, clients that only wait are closed this long after SIGTERM: as late as can be, but before
-/// requests count that might be found unanswered at the end.
-const TO_HEIR: Micros = 650_000;
+/// After SIGTERM, the front goes on sending for a while, so that long all is accepted and answered, and clients that only
+/// wait are kept: as late as can be, but before requests count that might be found unanswered at the end.
+const LEAVE: Micros = 650_000;
+/// The end comes no sooner after SIGTERM than the longest deadline, which counts up to this, and 0.7 s. What is taken on
+/// the way out is answered before that.
+const LONGEST: Micros = 3_000_000;
+const ANSWERED: Micros = 600_000;
 
 /// What holds at some moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,8 +31,8 @@
     pub refuses: bool,
     /// What waits to be accepted is left to an heir.
     pub to_heir: bool,
-    /// The process ends once all is answered.
-    pub leaves: bool,
+    /// The process ends once all is answered; since when.
+    pub leaves: Option<Micros>,
 }
 
 impl Stance {
@@ -42,9 +44,14 @@
         keeps: true,
         refuses: false,
         to_heir: false,
-        leaves: false,
+        leaves: None,
     };
 
+    /// By when a request that is taken now has to be answered, where the longest deadline is this.
+    pub fn answered_by(&self, longest: Micros) -> Option<Micros> {
+        self.leaves.map(|at| at.saturating_add(longest.min(LONGEST) + ANSWERED))
+    }
+
     fn and(self, other: Stance) -> Stance {
         Stance {
             ready: self.ready && other.ready,
@@ -53,7 +60,7 @@
             keeps: self.keeps && other.keeps,
             refuses: self.refuses || other.refuses,
             to_heir: self.to_heir || other.to_heir,
-            leaves: self.leaves || other.leaves,
+            leaves: self.leaves.or(other.leaves),
         }
     }
 }
@@ -107,14 +114,14 @@
         // Until the front knows, clients keep their connections: it may have no other balancer to give them.
         let leaves = self.leaves.map(|(at, heir)| match heir {
             false => {
-                let over = past(at, LEAVE);
+                let (over, leaves) = (past(at, LEAVE), Some(at));
                 let (ready, accepts, parts, keeps) = (false, !over, over, !over);
-                Stance { ready, accepts, parts, keeps, leaves: true, ..Stance::SERVING }
+                Stance { ready, accepts, parts, keeps, leaves, ..Stance::SERVING }
             }
             // To the front the two are one balancer, which is ready.
             true => {
-                let keeps = !past(at, TO_HEIR);
-                Stance { accepts: false, parts: true, keeps, to_heir: true, leaves: true, ..Stance::SERVING }
+                let (keeps, leaves) = (!past(at, LEAVE), Some(at));
+                Stance { accepts: false, parts: true, keeps, to_heir: true, leaves, ..Stance::SERVING }
             }
         });
         [drained, leaves].into_iter().flatten().fold(Stance::SERVING, Stance::and)
@@ -123,8 +130,8 @@
     /// When that changes by itself.
     pub fn due(&self, now: Micros) -> Option<Micros> {
         let at = |since: Option<Micros>, span| since.map(|since| since.saturating_add(span));
-        let leaves = self.leaves.map(|(at, heir)| at.saturating_add(if heir { TO_HEIR } else { LEAVE }));
-        let turns = [at(self.drained, FRONT), at(self.drained, DRAINED), leaves];
+        let leaves = self.leaves.map(|(at, _)| at);
+        let turns = [at(self.drained, FRONT), at(self.drained, DRAINED), at(leaves, LEAVE)];
         turns.into_iter().flatten().filter(|at| *at > now).min()
     }
 }
--- a/daemon/src/http/mod.rs
+++ b/daemon/src/http/mod.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::task::{Context, Poll};
 
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
@@ -268,6 +268,15 @@
         let _ = self.stream.readable().await;
     }
 
+    /// Ready once the other side has ended or broken the connection, also behind bytes that nobody reads. Looks now and
+    /// then: unread bytes keep the socket readable, so that nothing else would wake us.
+    pub async fn left(&self) {
+        const LOOK: std::time::Duration = std::time::Duration::from_millis(40);
+        while !matches!(self.stream.ready(Interest::READABLE).await, Ok(ready) if ready.is_read_closed()) {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
     /// Lets the other side see a break, not an end, once this is dropped.
     pub fn break_off(&self) {
         // If it fails, only an answer without length looks whole.
--- a/daemon/src/routed_task.rs
+++ b/daemon/src/routed_task.rs
@@ -10,7 +10,7 @@
 use gradepaddle::{LoadReport, Micros};
 use gradepaddle_dispatch::{Cause, Extent, Ticket};
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tracing::debug;
 
@@ -20,7 +20,7 @@
 use crate::idling::Idling;
 use crate::mail;
 use crate::pace::Pace;
-use crate::sockets::{Budget, Side};
+use crate::sockets::Budget;
 use crate::transaction::{Message, Reply};
 
 /// What all attempts share.
@@ -50,6 +50,17 @@
     pub open: bool,
 }
 
+/// What its transaction wants of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wish {
+    /// That it is made.
+    Made,
+    /// That it is not begun: the client has gone.
+    NotBegun,
+    /// That it ends.
+    Withdrawn,
+}
+
 /// Where a connection goes that can be used again; nowhere once its app server is forgotten.
 pub type Parking = mpsc::WeakUnboundedSender<Connection>;
 
@@ -59,8 +70,8 @@
     pub message: Rc<Message>,
     /// When to give it up.
     pub until: Micros,
-    /// Comes, or its sender is dropped, when the attempt is withdrawn.
-    pub withdrawn: oneshot::Receiver<()>,
+    /// What is wanted of it now; it is withdrawn once the sender is dropped.
+    pub wish: watch::Receiver<Wish>,
     /// Where its end goes.
     pub report: Report,
 }
@@ -127,7 +138,7 @@
     parking: Parking,
     context: Rc<Context>,
 ) {
-    let Assignment { message, until, withdrawn, mut report } = assignment;
+    let Assignment { message, until, mut wish, mut report } = assignment;
     report.unbegun = false;
     let Message::Http(request) = &*message;
     let (reused, idle) = reused.unzip();
@@ -141,10 +152,16 @@
         }
         sleep(Duration::from_micros(span)).await;
     };
+    let unwanted = wish.wait_for(|wish| match wish {
+        Wish::Made => false,
+        Wish::NotBegun => progress.extent.get() == Extent::Nothing,
+        Wish::Withdrawn => true,
+    });
+    // Looked at first, so that a connection which comes up just as the client leaves is not written to.
     let end = tokio::select! {
         biased;
+        _ = unwanted => End::of(Cause::Withdrawn),
         end = attempt => end,
-        _ = withdrawn => End::of(Cause::Withdrawn),
         () = over => End::of(Cause::OutOfTime),
     };
     // Other ends say nothing of the connection: it was left, or never came up.
@@ -209,7 +226,9 @@
     let mut connection = match reused {
         Some(connection) => connection,
         None => {
-            let Some(permit) = context.budget.take(Side::Server) else { return End::of(Cause::NotTried) };
+            let Some(permit) = context.budget.take_for_attempt().await else {
+                return End::of(Cause::NotTried);
+            };
             let dial = standing.borrow().dial;
             debug!(%dial, "connect");
             match timeout(context.dial_timeout, TcpStream::connect(dial)).await {
--- a/daemon/src/terminal.rs
+++ b/daemon/src/terminal.rs
@@ -141,8 +141,8 @@
     });
 }
 
-/// Serves one client until its connection is to be closed; given back after a last answer, which the
-/// client must have time to read.
+/// Serves one client until its connection is to be closed; given back where that is our doing: the client must have
+/// time to read its last answer, and what it sends meanwhile must not reset the connection.
 async fn serve(mut connection: Connection, context: &Context) -> Option<Connection> {
     // Set until the first request has come.
     let came = Instant::now();
@@ -154,22 +154,23 @@
                 Some(until) => (Wait::Silent, until, came + SPEAK_WITHIN),
                 None => (Wait::Next, now + IDLE, now),
             };
-            if !awaited(&mut connection, context, kind, until, at_least).await {
-                return None;
+            match awaited(&mut connection, context, kind, until, at_least).await {
+                Awaited::Request => {}
+                // A request may be on its way just now: it is read to its end, and nothing becomes of it.
+                Awaited::Nothing => return Some(connection),
+                Awaited::Gone => return None,
             }
         }
         let until = first.take().unwrap_or_else(|| Instant::now() + HEAD_WITHIN);
         let mut rest = context.budget.wait(Wait::Rest);
         let request = intake::read(&mut connection, &context.pool, until, &mut rest).await;
         drop(rest);
-        let mut all_read = false;
         let (reply, keep) = match request {
             Ok((request, upload)) => {
                 let open = context.budget.take(Side::Open);
                 let keep = request.head.keeps_alive() && open.is_some();
                 let (reply, whole) =
                     answer(&mut connection, context, request, upload, open.is_some()).await?;
-                all_read = whole;
                 // Read after the answer is there: the daemon may be on its way out since.
                 let keep = keep && whole && !context.phase.borrow().parts;
                 // In a crowd most clients ask once in a long while, and the next may find no place.
@@ -182,8 +183,6 @@
         };
         match reply.write(&mut connection, &context.pool, keep).await {
             Ok(true) => {}
-            // Nothing of the client's is unread, so the close does not reset the connection.
-            Ok(false) if all_read && connection.is_quiet() => return None,
             Ok(false) => return Some(connection),
             Err(_) => return None,
         }
@@ -193,21 +192,31 @@
 /// On the way out, closes clients that stand still amid a request, until the process ends.
 pub async fn hurry(context: Rc<Context>) {
     // The phase lasts as long as the process.
-    let _ = context.phase.clone().wait_for(|stance| stance.leaves && !stance.keeps).await;
+    let _ = context.phase.clone().wait_for(|stance| stance.leaves.is_some() && !stance.keeps).await;
     loop {
         context.budget.hurry(Instant::now(), STAND_STILL);
         tokio::time::sleep(LOOK_AGAIN).await;
     }
 }
 
-/// Waits for the first byte of a request; false if the connection is to be closed.
+/// What became of a wait for a request.
+enum Awaited {
+    /// Some of it has come.
+    Request,
+    /// Nothing, and the connection is to be closed.
+    Nothing,
+    /// The client has gone.
+    Gone,
+}
+
+/// Waits for the first byte of a request.
 async fn awaited(
     connection: &mut Connection,
     context: &Context,
     kind: Wait,
     until: Instant,
     at_least: Instant,
-) -> bool {
+) -> Awaited {
     let mut phase = context.phase.clone();
     let waiting = context.budget.wait(kind);
     let unkept = async {
@@ -217,12 +226,13 @@
     };
     tokio::select! {
         biased;
-        read = connection.fill() => matches!(read, Ok(1..)),
-        // A request that has come just now is answered, not crossed by the close.
-        () = unkept => !connection.is_quiet(),
-        () = waiting.unwanted() => false,
-        () = tokio::time::sleep_until(until) => false,
+        read = connection.fill() => return if matches!(read, Ok(1..)) { Awaited::Request } else { Awaited::Gone },
+        () = unkept => {}
+        () = waiting.unwanted() => {}
+        () = tokio::time::sleep_until(until) => {}
     }
+    // A request that has come just now is answered, not crossed by the close.
+    if connection.is_quiet() { Awaited::Nothing } else { Awaited::Request }
 }
 
 /// The answer to a request, and whether all of that has been read; none if the client has left.
@@ -321,6 +331,10 @@
             deadline.min((seconds * 1e6) as Micros)
         }
     };
+    // On the way out nobody may be left without an answer when the end comes.
+    let longest = deployment.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+    let by = context.phase.borrow().answered_by(longest);
+    let time_left = by.map_or(time_left, |by| time_left.min(by.saturating_sub(arrived)));
     let key = head.all("cookie").find_map(cookie);
     // App servers can only drop a repeat of what one key names. A safe class needs none.
     let names: Vec<_> = head.all("idempotency-key").map(<[u8]>::trim_ascii).collect();
--- a/daemon/src/terminal/intake.rs
+++ b/daemon/src/terminal/intake.rs
@@ -129,17 +129,21 @@
     pool: &Pool,
 ) -> Result<bool, Unread> {
     let Some(Upload { body, pieces, piece: bytes, pace }) = upload else {
+        // What has been sent ahead is left where it is, but its client may still leave.
         if connection.waiting() >= AHEAD {
-            std::future::pending::<()>().await;
+            connection.left().await;
+            return Err(Unread::Gone);
         }
         return match connection.fill().await {
             Ok(1..) => Ok(false),
             _ => Err(Unread::Gone),
         };
     };
-    let Ok(place) = pieces.reserve().await else {
-        // Whoever passed it on has ended: the answer is on its way, and says how.
-        return std::future::pending().await;
+    let place = tokio::select! {
+        biased;
+        Ok(place) = pieces.reserve() => place,
+        // Where whoever passed it on has ended, the answer is on its way, and says how.
+        () = connection.left() => return Err(Unread::Gone),
     };
     let last = piece(connection, body, bytes, pool.piece(), pace).await?;
     place.send(Piece { bytes: std::mem::replace(bytes, pool.chain()), last });
--- a/daemon/tests/network/main.rs
+++ b/daemon/tests/network/main.rs
@@ -1,5 +1,6 @@
 //! The daemon as a process on real sockets: each test is its clients, its app servers and discovery.
 
+mod crossings;
 mod flow;
 mod keyed;
 mod listing;
--- a/daemon/tests/network/rig.rs
+++ b/daemon/tests/network/rig.rs
@@ -200,7 +200,20 @@
         Self::new(count, sockets, true, true, SETTINGS)
     }
 
+    /// Under other settings, and not waited for: it may have to be told before it is ready.
+    pub fn asked_at_start(settings: &str) -> Rig {
+        Self::unready(1, 1024, false, false, settings)
+    }
+
     fn new(count: u8, sockets: u32, has_door: bool, inherits: bool, settings: &str) -> Rig {
+        let rig = Self::unready(count, sockets, has_door, inherits, settings);
+        if count > 0 {
+            rig.logged(" ready ");
+        }
+        rig
+    }
+
+    fn unready(count: u8, sockets: u32, has_door: bool, inherits: bool, settings: &str) -> Rig {
         let bind = || TcpListener::bind("127.0.0.1:0").expect("a port");
         let servers: Vec<_> = (0..count).map(|_| bind()).collect();
         let discovery = bind();
@@ -209,9 +222,6 @@
         let (command, folder) =
             Self::command(&servers, &discovery, sockets, has_door, socket.as_ref(), &shared, settings);
         let daemon = Daemon::start(command, folder, has_door);
-        if count > 0 {
-            daemon.logged(" ready ");
-        }
         Rig { daemon, servers, discovery, sockets, settings: settings.to_owned(), socket, shared }
     }
 
@@ -305,7 +315,17 @@
     }
 
     pub fn watch_at(discovery: &TcpListener, list: &str) -> (String, End) {
-        let (stream, _) = discovery.accept().expect("a watch");
+        discovery.set_nonblocking(true).expect("a socket");
+        let until = std::time::Instant::now() + PATIENCE;
+        let stream = loop {
+            match discovery.accept() {
+                Ok((stream, _)) => break stream,
+                Err(e) => assert!(std::time::Instant::now() < until, "a watch: {e}"),
+            }
+            std::thread::yield_now();
+        };
+        stream.set_nonblocking(false).expect("a socket");
+        discovery.set_nonblocking(false).expect("a socket");
         let mut end = End::new(stream);
         let request = end.message();
         end.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
--- a/dispatch/src/dispatch.rs
+++ b/dispatch/src/dispatch.rs
@@ -108,6 +108,7 @@
                 if let Some(open) = self.open.get_mut(&ticket).filter(|open| open.owed) {
                     open.owed = false;
                     self.told_left(now, ticket, &mut echoes, out);
+                    self.hold(ticket, out);
                 }
             }
             Input::Uploaded { ticket } => self.uploaded(now, ticket),
@@ -437,6 +438,16 @@
         self.settle(ticket);
     }
 
+    /// Of a client that has gone nothing new begins, whatever the chooser may or may not withdraw.
+    fn hold(&mut self, ticket: Ticket, out: &mut Vec<Output<M, R>>) {
+        let Some(open) = self.open.get(&ticket).filter(|_| self.guard.holds()) else { return };
+        for (at, attempt) in open.attempts.iter().enumerate() {
+            if attempt.is_out() && !attempt.withdrawn && attempt.extent == Extent::Nothing {
+                out.push(Output::Hold { ticket, attempt: at as u32 });
+            }
+        }
+    }
+
     /// Forgets a transaction that is answered and has no attempt out.
     fn settle(&mut self, ticket: Ticket) {
         if self.guard.forgets()
--- a/dispatch/src/guard.rs
+++ b/dispatch/src/guard.rs
@@ -120,6 +120,11 @@
         true
     }
 
+    /// Is what was not begun held back once its client has gone?
+    fn holds(&self) -> bool {
+        true
+    }
+
     /// Does a transaction that the decisions forget fail by itself past its deadline?
     fn has_backstop(&self) -> bool {
         true
--- a/dispatch/src/io.rs
+++ b/dispatch/src/io.rs
@@ -170,6 +170,14 @@
         /// The attempt, counted from 0.
         attempt: u32,
     },
+    /// Do not begin this attempt: its client has gone. One of which a byte is written goes on; the other ends as if it
+    /// were withdrawn, also where running attempts may not be.
+    Hold {
+        /// The transaction.
+        ticket: Ticket,
+        /// The attempt, counted from 0.
+        attempt: u32,
+    },
     /// Give the client its final answer.
     Answer {
         /// The transaction.
--- a/emulator/src/balancer.rs
+++ b/emulator/src/balancer.rs
@@ -417,9 +417,11 @@
                 let server = crate::policy::number(&server).unwrap_or(u32::MAX);
                 self.start(number, message, attempt, server, until, late);
             }
-            Output::Withdraw { ticket, attempt } => {
+            Output::Withdraw { ticket, attempt } | Output::Hold { ticket, attempt } => {
                 let key = TryKey::from(KeyData::from_ffi(ticket));
-                if let Some(flight) = self.flight_of(key, attempt) {
+                let begun = |flight| self.extent(flight) != Extent::Nothing;
+                let held = matches!(output, Output::Hold { .. });
+                if let Some(flight) = self.flight_of(key, attempt).filter(|flight| !held || !begun(*flight)) {
                     let extent = self.extent(flight);
                     self.give_over(flight);
                     inputs.push(Input::Ended {
