Log what the roll-out does to servers, when versions bind, and what begins too late

Cause: nothing told hypotheses of incident VERSION apart. Change: events version named, server held back, order answered, server open again; a warning and a counter for a request that begins on outdated weights. No decision changes.

--- a/controlplane/src/node.rs
+++ b/controlplane/src/node.rs
@@ -19,7 +19,7 @@
 use crate::calls::{Answer, Call};
 use crate::founding::Founding;
 use crate::registry::Registry;
-use crate::rollout::{Order, OrderAnswer, Rollout};
+use crate::rollout::{Order, OrderAnswer, Ordered, Rollout};
 use crate::session::OwnSession;
 use crate::sessions::HeldSessions;
 
@@ -191,6 +191,36 @@
         /// The server.
         id: Arc<str>,
     },
+    /// This node has heard that newer weights were named.
+    VersionNamed {
+        /// The model.
+        model: Arc<str>,
+        /// The version.
+        version: u64,
+        /// From when on nothing older may begin, counted from now.
+        binds_in: Micros,
+    },
+    /// This node, which leads, holds a server back from new requests: it is to load a version.
+    LoadingBegun {
+        /// The server.
+        server: Arc<str>,
+        /// What it is to load.
+        target: Ordered,
+    },
+    /// It is open again: it holds the version, or was given up.
+    LoadingEnded {
+        /// The server.
+        server: Arc<str>,
+        /// What it was to load, and whether it holds that.
+        target: Ordered,
+    },
+    /// A server answered an order, or did not in time.
+    OrderAnswered {
+        /// The order.
+        order: Order,
+        /// The answer.
+        answer: OrderAnswer,
+    },
 }
 
 /// What a node is told at its start.
@@ -371,6 +401,7 @@
             Input::PersistFailed(token) => self.tell_replica(now, ReplicaInput::PersistFailed { token }, out),
             Input::OrderAnswered { order, answer } => {
                 let steps = self.rollout.answered(now, &order, answer);
+                out.push(Output::Event(Event::OrderAnswered { order, answer }));
                 self.take_steps(now, steps, out);
             }
             Input::Reported { server, model, version } => {
--- a/controlplane/src/node/serving.rs
+++ b/controlplane/src/node/serving.rs
@@ -66,7 +66,9 @@
         let known = self.named.insert(item.key.to_string(), version);
         let young = now.saturating_sub(self.started) < STARTING_FOR;
         let age = if young { self.version_within.saturating_sub(STARTING_FOR) } else { 0 };
-        let left = self.version_within.saturating_sub(age).saturating_sub(VERSION_MARGIN);
+        let binds_in = self.version_within.saturating_sub(age);
+        out.push(Output::Event(Event::VersionNamed { model: model.clone(), version, binds_in }));
+        let left = binds_in.saturating_sub(VERSION_MARGIN);
         self.rollout.set_due(&model, now + left);
         out.push(match known == Some(version) && !young {
             true => Output::WeightsPostponed { model, version },
@@ -177,6 +179,7 @@
         for step in steps {
             match step {
                 Step::Mark(item) => {
+                    out.extend(loading_event(&item).map(Output::Event));
                     self.spread.publish(now, item, &mut results);
                 }
                 Step::Order(order) => out.push(Output::Order(order)),
@@ -240,6 +243,16 @@
     }
 }
 
+/// What a mark of this node's own roll-out says, for the log.
+fn loading_event(mark: &Item) -> Option<Event> {
+    let target = Ordered::from_bytes(&mark.payload).ok()?;
+    let server = mark.key.clone();
+    Some(match mark.removed {
+        true => Event::LoadingEnded { server, target },
+        false => Event::LoadingBegun { server, target },
+    })
+}
+
 fn server_status(server: &Registration) -> ServerStatus {
     ServerStatus {
         id: server.id.to_string(),
--- a/dataplane/src/relay.rs
+++ b/dataplane/src/relay.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use gradepaddle_engine::{AttemptOutcome, Choice};
+use gradepaddle_engine::{AttemptOutcome, Choice, OutdatedBegin};
 use gradepaddle_http::buffers::Chain;
 use gradepaddle_http::{Connection, Framing, chunk, push_framing, push_headers};
+use slog::warn;
 use tokio::time::{Instant, sleep_until};
 
 use crate::admission::Admitted;
@@ -16,6 +17,9 @@
 /// Fields of an answer that the node sets itself.
 const OWN_FIELDS: [&str; 1] = ["connection"];
 
+/// Microseconds in a millisecond.
+const MILLISECOND: u64 = 1_000;
+
 /// How far an answer came.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Relayed {
@@ -157,8 +161,13 @@
     fn take(&mut self, bytes: Chain, last: bool) -> Chain {
         if !self.told && !bytes.is_empty() {
             self.told = true;
-            let now = self.plane.now();
-            self.plane.engine.borrow_mut().first_event(now, self.choice.attempt);
+            let (now, attempt) = (self.plane.now(), self.choice.attempt);
+            let told = self.upstream.as_ref().and_then(Upstream::version);
+            let mut engine = self.plane.engine.borrow_mut();
+            if let Some(outdated) = engine.begun_outdated(now, attempt, told) {
+                self.warn_outdated(outdated);
+            }
+            engine.first_event(now, attempt);
         }
         let Some(events) = &mut self.events else { return bytes };
         let mut whole = Vec::new();
@@ -176,6 +185,11 @@
         out
     }
 
+    fn warn_outdated(&self, begin: OutdatedBegin) {
+        warn!(self.plane.log, "request begun on outdated weights"; "server" => &*self.choice.server,
+            "version" => begin.version, "binding" => begin.binding, "waited_ms" => begin.waited / MILLISECOND);
+    }
+
     async fn pass_on(&self, client: &Connection, bytes: &Chain, last: bool) -> Result<(), Relayed> {
         match self.framing {
             Some(Framing::Chunked) => {
--- a/engine/src/api.rs
+++ b/engine/src/api.rs
@@ -187,6 +187,17 @@
     },
 }
 
+/// An attempt whose first event came on weights that were too old by then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OutdatedBegin {
+    /// The version that it began on.
+    pub version: u64,
+    /// The oldest version that may begin.
+    pub binding: u64,
+    /// How long it waited for its first event.
+    pub waited: Micros,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
--- a/engine/src/attempts.rs
+++ b/engine/src/attempts.rs
@@ -71,6 +71,24 @@
         AttemptId(id)
     }
 
+    /// Whether an attempt whose first event comes now began on an older version than the one that binds. `told` is the
+    /// version that its answer bears, if any.
+    pub fn begun_outdated(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        told: Option<u64>,
+    ) -> Option<OutdatedBegin> {
+        let attempt = self.attempts.get(&attempt.0)?;
+        let (model, placed) = attempt.version?;
+        let version = told.unwrap_or(placed);
+        let binding = self.versions.binding(now, &self.fleet.models.name(model));
+        let waited = now.saturating_sub(attempt.sent);
+        let outdated = (version < binding).then_some(OutdatedBegin { version, binding, waited });
+        self.counters.begun_outdated += u64::from(outdated.is_some());
+        outdated
+    }
+
     /// The first event of an attempt came: its prompt is read, and its parts are kept there.
     pub fn first_event(&mut self, now: Micros, attempt: AttemptId) {
         let Some(attempt) = self.attempts.get_mut(&attempt.0).filter(|a| a.first_at.is_none()) else {
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -138,12 +138,7 @@
     /// Newer weights were named. Servers that have them are preferred from now on; those that don't are left out
     /// from `version_within`, less `version_margin`, after `now`.
     pub fn name_version(&mut self, now: Micros, model: &str, version: u64) {
-        let within = self.version_span();
-        self.versions.name(model, version, now + within);
-    }
-
-    pub(crate) fn version_span(&self) -> Micros {
-        self.config.version_within.saturating_sub(self.config.version_margin)
+        self.versions.name(model, version, now + self.config.version_within);
     }
 
     /// Chooses a server and counts the attempt as in flight. Servers that were `tried` are chosen again only if no
--- a/engine/src/gate.rs
+++ b/engine/src/gate.rs
@@ -20,7 +20,6 @@
     /// A version that was named binds as if it had been named now: the core was not stable since, so its time begins
     /// anew. One that binds already goes on to do so.
     pub fn postpone_version(&mut self, now: Micros, model: &str, version: u64) {
-        let due = now + self.version_span();
-        self.versions.postpone(model, version, due);
+        self.versions.postpone(model, version, now + self.config.version_within);
     }
 }
--- a/engine/src/status.rs
+++ b/engine/src/status.rs
@@ -24,6 +24,8 @@
     pub saves: u64,
     /// Attempts without a known version.
     pub unknown_versions: u64,
+    /// Attempts that began on an older version than the one that binds.
+    pub begun_outdated: u64,
     /// Requests refused because no server was ready.
     pub no_server: u64,
     /// Requests refused because all were full.
--- a/engine/src/version.rs
+++ b/engine/src/version.rs
@@ -36,11 +36,35 @@
     }
 }
 
+/// A version that was named, with the time from which on nothing older may begin at a server.
+#[derive(Clone, Copy, Debug)]
+struct Binding {
+    at: Micros,
+    version: u64,
+}
+
 #[derive(Debug, Default)]
 struct Named {
     newest: u64,
+    /// The oldest version that requests are placed with.
     floor: u64,
-    due: Vec<(Micros, u64)>,
+    /// The oldest version that may still begin.
+    binding: u64,
+    /// Versions above `binding`.
+    ahead: Vec<Binding>,
+}
+
+impl Named {
+    /// The newest version that binds by this time.
+    fn ripe(&self, by: Micros) -> u64 {
+        self.ahead.iter().filter(|one| one.at <= by).map(|one| one.version).max().unwrap_or(0)
+    }
+
+    fn settle(&mut self, now: Micros) {
+        self.binding = self.binding.max(self.ripe(now));
+        let binding = self.binding;
+        self.ahead.retain(|one| one.version > binding);
+    }
 }
 
 /// The versions that were named, by model.
@@ -50,30 +74,39 @@
 }
 
 impl Versions {
-    /// A version was named; from `due` on nothing older may be used.
-    pub(crate) fn name(&mut self, model: &str, version: u64, due: Micros) {
+    /// A version was named; from `binds_at` on nothing older may begin.
+    pub(crate) fn name(&mut self, model: &str, version: u64, binds_at: Micros) {
         let named = self.models.entry(Arc::from(model)).or_default();
-        if version > named.floor && !named.due.iter().any(|(at, v)| *v >= version && *at <= due) {
-            named.due.push((due, version));
+        let implied = |one: &Binding| one.version >= version && one.at <= binds_at;
+        if version > named.binding && !named.ahead.iter().any(implied) {
+            named.ahead.push(Binding { at: binds_at, version });
         }
         named.newest = named.newest.max(version);
     }
 
-    /// What was named binds later than it was said, unless it binds already: nobody could bring servers to it.
-    pub(crate) fn postpone(&mut self, model: &str, version: u64, due: Micros) {
+    /// What was named binds later than it was said, unless nothing older is placed already: nobody could bring servers
+    /// to it.
+    pub(crate) fn postpone(&mut self, model: &str, version: u64, binds_at: Micros) {
         let Some(named) = self.models.get_mut(model) else { return };
-        for (at, _) in named.due.iter_mut().filter(|(_, v)| *v <= version) {
-            *at = (*at).max(due);
+        let floor = named.floor;
+        for one in named.ahead.iter_mut().filter(|one| one.version <= version && one.version > floor) {
+            one.at = one.at.max(binds_at);
         }
     }
 
-    /// The newest version that was named, and the oldest that may be used now; 0 if none was named.
-    pub(crate) fn bounds(&mut self, now: Micros, model: &str) -> (u64, u64) {
+    /// The newest version that was named, and the oldest that requests may be placed with from `margin` before it
+    /// binds; 0 if none was named.
+    pub(crate) fn bounds(&mut self, now: Micros, margin: Micros, model: &str) -> (u64, u64) {
         let Some(named) = self.models.get_mut(model) else { return (0, 0) };
-        let ripe = named.due.iter().filter(|(at, _)| *at <= now).map(|(_, version)| *version).max();
-        named.floor = named.floor.max(ripe.unwrap_or(0));
-        let floor = named.floor;
-        named.due.retain(|(_, version)| *version > floor);
-        (named.newest, floor)
+        named.floor = named.floor.max(named.ripe(now + margin));
+        named.settle(now);
+        (named.newest, named.floor)
+    }
+
+    /// The oldest version that may begin at this time; 0 if none was named.
+    pub(crate) fn binding(&mut self, now: Micros, model: &str) -> u64 {
+        let Some(named) = self.models.get_mut(model) else { return 0 };
+        named.settle(now);
+        named.binding
     }
 }
--- a/engine/src/warmth.rs
+++ b/engine/src/warmth.rs
@@ -33,7 +33,8 @@
         let head = shared(request);
         let tokens: u32 = head.iter().map(|part| part.tokens).sum();
         let model = request.model.map(|model| self.fleet.models.number(model));
-        let (newest, floor) = request.model.map_or((0, 0), |model| self.versions.bounds(now, model));
+        let margin = self.config.version_margin;
+        let (newest, floor) = request.model.map_or((0, 0), |model| self.versions.bounds(now, margin, model));
         self.warm.clear();
         self.warm.resize(self.fleet.services[service].rows.len(), 0.0);
         let heads = self.heads(service, request, floor);
--- a/system/src/effects.rs
+++ b/system/src/effects.rs
@@ -9,12 +9,28 @@
 use gradepaddle_control::{Record, Token};
 use gradepaddle_controlplane::driver::Effects;
 use gradepaddle_controlplane::node::Event;
+use gradepaddle_controlplane::rollout::OrderAnswer;
 use gradepaddle_dataplane::DataPlane;
 use gradepaddle_engine::{Micros, ServerEntry, ServerState};
 use gradepaddle_store::Writer;
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 
+/// Microseconds in a millisecond.
+const MILLISECOND: Micros = 1_000;
+
+fn millis(span: Micros) -> u64 {
+    span / MILLISECOND
+}
+
+fn answer_name(answer: OrderAnswer) -> &'static str {
+    match answer {
+        OrderAnswer::InProgress => "in_progress",
+        OrderAnswer::Holds => "holds",
+        OrderAnswer::NotTaken => "not_taken",
+    }
+}
+
 /// The node's own side of its control plane.
 pub struct NodeEffects {
     /// The data plane.
@@ -100,6 +116,22 @@
             Event::NotLeading => info!(self.log, "not leading"),
             Event::Founded { members } => info!(self.log, "first view told"; "members" => members),
             Event::ServerLost { id } => info!(self.log, "server lost"; "server" => &*id),
+            Event::VersionNamed { model, version, binds_in } => {
+                info!(self.log, "version named";
+                    "model" => &*model, "version" => version, "binds_in_ms" => millis(binds_in));
+            }
+            Event::LoadingBegun { server, target } => {
+                info!(self.log, "server held back";
+                    "server" => &*server, "model" => &*target.model, "version" => target.version);
+            }
+            Event::LoadingEnded { server, target } => {
+                info!(self.log, "server open again"; "server" => &*server,
+                    "model" => &*target.model, "version" => target.version, "loaded" => target.done);
+            }
+            Event::OrderAnswered { order, answer } => {
+                info!(self.log, "order answered"; "server" => &*order.server, "model" => &*order.model,
+                    "version" => order.version, "fence" => order.fence, "answer" => answer_name(answer));
+            }
         }
     }
 
