--- a/controlplane/tests/rollout.rs
+++ b/controlplane/tests/rollout.rs
@@ -325,6 +325,22 @@
     Ok(())
 }
 
+#[gtest]
+fn what_is_of_no_use_any_longer_is_loaded_at_once_whatever_was_named_since() -> Result<()> {
+    let mut duty = Duty::leading(12);
+    duty.rollout.set_due("advisor", duty.now + 6 * SECOND);
+    duty.run(3 * SECOND);
+    duty.named.insert("advisor".to_owned(), 3);
+    duty.rollout.set_due("advisor", duty.now + 6 * SECOND);
+    // The first ones take their time. From 6 s on nothing goes to any server at version 1.
+    let steps = duty.run(4 * SECOND);
+    let mut begun: Vec<Arc<str>> = marks(&steps).into_iter().map(|(_, server, _)| server).collect();
+    begun.sort();
+    begun.dedup();
+    expect_that!(begun.len(), ge(8), "of the eight that are left when version 2 binds: {begun:?}");
+    Ok(())
+}
+
 #[gtest]
 fn marks_of_one_server_rise() -> Result<()> {
     let mut duty = Duty::leading(2);
--- a/dataplane/tests/common/world.rs
+++ b/dataplane/tests/common/world.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use gradepaddle_dataplane::{DataPlane, Setup, serve_clients, serve_readiness};
-use gradepaddle_engine::{Engine, EngineConfig, ModelVersion, ServerEntry, ServerState};
+use gradepaddle_engine::{Engine, EngineConfig, Micros, ModelVersion, ServerEntry, ServerState};
 use serde_json::Value;
 use slog::{Discard, Logger, o};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -15,17 +15,29 @@
 use super::configuration::{MODEL, SERVICE, configuration, parsed};
 use super::servers::{Arrival, MARK, Play, Server, Stage, v4};
 
+/// The version of the model that all servers have at first.
+pub const FIRST_VERSION: u64 = 3;
+
 /// What a world is made of.
 pub struct Options {
     pub configuration: Option<Value>,
     /// Ids of servers.
     pub servers: Vec<&'static str>,
     pub retry_slack: f64,
+    /// Within which a named version binds, and how much sooner nothing older is placed.
+    pub version_within: Micros,
+    pub version_margin: Micros,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { configuration: Some(configuration()), servers: vec!["s1", "s2"], retry_slack: 50.0 }
+        Options {
+            configuration: Some(configuration()),
+            servers: vec!["s1", "s2"],
+            retry_slack: 50.0,
+            version_within: 8_000_000,
+            version_margin: 1_500_000,
+        }
     }
 }
 
@@ -53,8 +65,13 @@
     }
 
     pub async fn with(options: Options, plays: Vec<Play>) -> Self {
-        let config =
-            EngineConfig::builder().own_zone("here").seed(7).retry_slack(options.retry_slack).build();
+        let config = EngineConfig::builder()
+            .own_zone("here")
+            .seed(7)
+            .retry_slack(options.retry_slack)
+            .version_within(options.version_within)
+            .version_margin(options.version_margin)
+            .build();
         let plane = DataPlane::new(Setup { engine: Engine::new(config), log: Logger::root(Discard, o!()) });
         let (front, readiness) = (listener().await, listener().await);
         let stage = Rc::new(Stage::default());
@@ -98,7 +115,7 @@
             slots: 8,
             state,
             warmup_left: 0,
-            models: vec![ModelVersion { model: Arc::from(MODEL), version: 3 }],
+            models: vec![ModelVersion { model: Arc::from(MODEL), version: FIRST_VERSION }],
         };
         self.plane.engine.borrow_mut().set_server(self.plane.now(), entry);
     }
--- /dev/null
+++ b/dataplane/tests/versions.rs
@@ -0,0 +1,65 @@
+//! Newer weights are named while requests wait at servers: none begins on older ones once the newer bind.
+
+mod common;
+
+use common::configuration::MODEL;
+use common::world::FIRST_VERSION;
+use common::*;
+use googletest::prelude::*;
+use gradepaddle_engine::Micros;
+
+const MS: Micros = 1_000;
+/// Within which a named version binds here, and how much sooner nothing older is placed.
+const WITHIN: Micros = 400 * MS;
+const MARGIN: Micros = 100 * MS;
+const NEWER: u64 = FIRST_VERSION + 1;
+
+async fn world(plays: Vec<Play>) -> World {
+    let options = Options { version_within: WITHIN, version_margin: MARGIN, ..Options::default() };
+    World::with(options, plays).await
+}
+
+/// Names the newer version, as the control plane does.
+fn name_newer(world: &World) {
+    world.plane.engine.borrow_mut().name_version(world.plane.now(), MODEL, NEWER);
+}
+
+/// All servers but this one have the newer version.
+fn others_hold_newer(world: &World, server: &str) {
+    let now = world.plane.now();
+    let mut engine = world.plane.engine.borrow_mut();
+    for other in world.servers.iter().filter(|other| other.id != server) {
+        engine.observe_version(now, &other.id, MODEL, NEWER);
+    }
+}
+
+/// A generation that the servers get two seconds for: less than its client would wait.
+fn generation(target: &str) -> Ask {
+    Ask::post(target).generation().field("X-Deadline-Ms", "2000")
+}
+
+/// Asks, has a newer version named while the request waits at its server, and gives the answer.
+async fn ask_across_a_naming(world: &World, ask: &Ask) -> Answer {
+    let mut client = world.client().await;
+    client.send(&ask.bytes()).await;
+    let arrivals = world.arrived(1).await;
+    name_newer(world);
+    others_hold_newer(world, &arrivals[0].server);
+    client.answer().await
+}
+
+#[gtest]
+fn what_has_not_begun_as_its_version_is_outdated_goes_to_a_newer_server() {
+    run(async {
+        let waiting: [(&str, MakePlay); 2] =
+            [("no head", silence), ("no event", || begun_stream("", vec![Step::Hang]))];
+        for (name, play) in waiting {
+            let world = world(vec![play(), stream(1..=4)]).await;
+            let answer = ask_across_a_naming(&world, &generation("/resume/x")).await;
+            expect_that!((answer.status, &*answer.text()), eq((200, &*events(1..=4))), "{name}");
+            let arrivals = world.all_arrivals().await;
+            expect_that!(arrivals.len(), eq(2), "{name}");
+            expect_that!(arrivals[1].field("Expect-Version"), some(eq(&*NEWER.to_string())), "{name}");
+        }
+    });
+}
