Hold a version's bound where requests begin, and load weights under running requests

Cause: one class, a bound that is held where work is placed and not where it begins. The roll-out waited for the longest run of each server (method wait) and turned all else away meanwhile, so that queues outgrew the 1.5 s that placement left; a newer version's time replaced the older one's, so that servers of no use any more stood idle; a node that heard late counted from when it heard. Change: what has not begun 250 ms before its version is outdated is taken back and placed anew; servers whose expected wait ends later are left out; orders keep running requests; times are kept for each version, servers of no use are loaded at once, those whose time is over first go first; items of spread travel with their age, from which the bound counts (the guess for young nodes is gone: its age lay before the start of the process and was cut to nothing).

--- a/controlplane/src/driver.rs
+++ b/controlplane/src/driver.rs
@@ -45,10 +45,10 @@
     fn rank(&self, rank: usize);
     /// Another node has told whether a store answers.
     fn store(&self, name: &str, alive: bool);
-    /// Newer weights were named, this long ago.
-    fn weights_named(&self, model: &str, version: u64, age: Micros);
-    /// The time within which a version has to be in use begins anew.
-    fn weights_postponed(&self, model: &str, version: u64);
+    /// Newer weights were named: nothing older may begin from `binds_in` after now.
+    fn weights_named(&self, model: &str, version: u64, binds_in: Micros);
+    /// The time within which a version has to be in use begins anew: it ends `binds_in` after now.
+    fn weights_postponed(&self, model: &str, version: u64, binds_in: Micros);
     /// Nothing new goes to a server for this long.
     fn hold(&self, server: &str, span: Micros);
     /// A server holds this version of a model.
@@ -180,8 +180,12 @@
             Output::Peers(peers) => self.effects.peers(peers),
             Output::Rank(rank) => self.effects.rank(rank),
             Output::Store { name, alive } => self.effects.store(&name, alive),
-            Output::WeightsNamed { model, version, age } => self.effects.weights_named(&model, version, age),
-            Output::WeightsPostponed { model, version } => self.effects.weights_postponed(&model, version),
+            Output::WeightsNamed { model, version, binds_in } => {
+                self.effects.weights_named(&model, version, binds_in);
+            }
+            Output::WeightsPostponed { model, version, binds_in } => {
+                self.effects.weights_postponed(&model, version, binds_in);
+            }
             Output::Hold { server, span } => self.effects.hold(&server, span),
             Output::Holds { server, model, version } => self.effects.holds(&server, &model, version),
             Output::Order(order) => self.order(order),
--- a/controlplane/src/node.rs
+++ b/controlplane/src/node.rs
@@ -128,8 +128,8 @@
         model: Arc<str>,
         /// The version.
         version: u64,
-        /// This long ago at the least.
-        age: Micros,
+        /// From when on nothing older may begin, counted from now.
+        binds_in: Micros,
     },
     /// The time within which a version has to be in use begins anew.
     WeightsPostponed {
@@ -137,6 +137,8 @@
         model: Arc<str>,
         /// The version.
         version: u64,
+        /// From when on nothing older may begin, counted from now.
+        binds_in: Micros,
     },
     /// A server is about to load weights: nothing new goes there for this long.
     Hold {
@@ -288,7 +290,6 @@
     rank: usize,
     in_touch: bool,
     leading: bool,
-    started: Micros,
     version_within: Micros,
     machine_losses: usize,
     /// The process is about to end.
@@ -371,7 +372,6 @@
             rank: usize::MAX,
             in_touch: false,
             leading: false,
-            started: setup.now,
             version_within: setup.version_within,
             machine_losses: setup.machine_losses,
             leaving: false,
--- a/controlplane/src/node/serving.rs
+++ b/controlplane/src/node/serving.rs
@@ -22,8 +22,6 @@
 const HOLD_FOR: Micros = 8_000_000;
 /// Nothing new goes to servers with older weights from this long before they have to be gone.
 const VERSION_MARGIN: Micros = 1_500_000;
-/// Weights that a node hears of within this after its start may have been named long before.
-const STARTING_FOR: Micros = 3_000_000;
 
 impl Node {
     /// Takes in an item that is newer than what was held.
@@ -61,18 +59,17 @@
         }
     }
 
+    /// Newer weights were named, or their time begins anew. It counts from the publication, however late that is heard.
     fn weights_named(&mut self, now: Micros, item: &Item, out: &mut Vec<Output>) {
         let (model, version) = (item.key.clone(), item.stamp.major);
         let known = self.named.insert(item.key.to_string(), version);
-        let young = now.saturating_sub(self.started) < STARTING_FOR;
-        let age = if young { self.version_within.saturating_sub(STARTING_FOR) } else { 0 };
+        let age = self.spread.age(now, WEIGHTS, &model).unwrap_or(0);
         let binds_in = self.version_within.saturating_sub(age);
         out.push(Output::Event(Event::VersionNamed { model: model.clone(), version, binds_in }));
-        let left = binds_in.saturating_sub(VERSION_MARGIN);
-        self.rollout.set_due(&model, now + left);
-        out.push(match known == Some(version) && !young {
-            true => Output::WeightsPostponed { model, version },
-            false => Output::WeightsNamed { model, version, age },
+        self.rollout.set_due(&model, version, now + binds_in.saturating_sub(VERSION_MARGIN));
+        out.push(match known == Some(version) {
+            true => Output::WeightsPostponed { model, version, binds_in },
+            false => Output::WeightsNamed { model, version, binds_in },
         });
     }
 
--- a/controlplane/src/orders.rs
+++ b/controlplane/src/orders.rs
@@ -30,8 +30,9 @@
 /// The longest answer that is read, in bytes.
 const ANSWER_BYTES: u64 = 4 * 1024 * 1024;
 
-/// How running requests are treated while a server loads weights: they end under the old ones first.
-const METHOD: &str = "wait";
+/// How running requests are treated while a server loads weights: they go on under the new ones. Were they waited for,
+/// the server would take nothing new for as long as the longest of them lasts.
+const METHOD: &str = "keep";
 
 /// The right to give one order: until the end of the lease, and only while this node leads under the order's fence.
 #[derive(Debug)]
--- a/controlplane/src/rollout.rs
+++ b/controlplane/src/rollout.rs
@@ -23,8 +23,8 @@
 const AGAIN_AFTER: Micros = 500_000;
 /// A server that does not come to hold the version within this is given up for now.
 const GIVE_UP_AFTER: Micros = 7_000_000;
-/// What a batch of servers takes, with the requests that run first.
-const BATCH_TAKES: Micros = 2_000_000;
+/// What a batch of servers takes, from the first one being held back to the last one being open again.
+const BATCH_TAKES: Micros = 1_500_000;
 /// A server that was given up is left alone for this long.
 const LEFT_ALONE_FOR: Micros = 3_000_000;
 /// One in so many servers of a model is being loaded at once, as many as [`AT_ONCE_LEAST`] in any case.
@@ -117,6 +117,8 @@
     address: SocketAddrV4,
     model: Arc<str>,
     version: u64,
+    /// It took requests until then: its work is missing meanwhile.
+    was_of_use: bool,
     stage: Stage,
     since: Micros,
     due: Micros,
@@ -132,6 +134,13 @@
     }
 }
 
+/// A server that holds an older version of a model than the newest.
+struct Outdated<'a> {
+    server: &'a Registration,
+    /// From when on it gets nothing new.
+    due: Option<Micros>,
+}
+
 /// The duty, while this node is the primary.
 pub struct Rollout {
     lease: Micros,
@@ -144,8 +153,8 @@
     known: BTreeMap<Arc<str>, BTreeMap<Arc<str>, u64>>,
     /// Servers that were given up, and until when they are left alone.
     given_up: BTreeMap<Arc<str>, Micros>,
-    /// By when all servers of a model have to hold its newest version.
-    due: BTreeMap<String, Micros>,
+    /// For each version of a model, from when on nothing goes to servers with older ones.
+    due: BTreeMap<String, BTreeMap<u64, Micros>>,
     marks: u64,
 }
 
@@ -184,9 +193,22 @@
         self.running.clear();
     }
 
-    /// From this time on nothing new goes to servers of a model without its newest version.
-    pub fn set_due(&mut self, model: &str, due: Micros) {
-        self.due.insert(model.to_owned(), due);
+    /// From this time on nothing new goes to servers that hold an older version of the model.
+    pub fn set_due(&mut self, model: &str, version: u64, due: Micros) {
+        self.due.entry(model.to_owned()).or_default().insert(version, due);
+    }
+
+    /// Of the versions whose time is over, the newest says all.
+    fn forget_past_dues(&mut self, now: Micros, model: &str) {
+        let Some(dues) = self.due.get_mut(model) else { return };
+        let past = dues.iter().filter(|(_, due)| **due <= now).map(|(version, _)| *version).max();
+        dues.retain(|version, due| *due > now || Some(*version) >= past);
+    }
+
+    /// When a server that holds this version of a model gets nothing new any more; none if nothing newer is known.
+    fn due_at(&self, model: &str, held: u64) -> Option<Micros> {
+        let newer = self.due.get(model)?.range(held + 1..);
+        newer.map(|(_, due)| *due).min()
     }
 
     /// What is due. `servers` are all that are known, `named` the newest versions.
@@ -200,7 +222,8 @@
         steps
     }
 
-    /// Starts as many servers as may load at once.
+    /// Starts servers that are to load: all that get nothing new any more, and as many of the others as may be missing
+    /// at once, those first whose time is over first.
     fn begin(
         &mut self,
         now: Micros,
@@ -210,41 +233,60 @@
         version: u64,
         steps: &mut Vec<Step>,
     ) {
-        let holders: Vec<&Registration> =
-            servers.values().filter(|one| holds(one, model).is_some()).collect();
-        let old: Vec<&&Registration> =
-            holders.iter().filter(|one| self.held(one, model).is_some_and(|held| held < version)).collect();
-        let most = self.at_once(now, model, holders.len(), old.len());
-        let fit: Vec<&Registration> =
-            old.into_iter().filter(|one| !one.draining && !one.lost).copied().collect();
         self.given_up.retain(|_, until| *until > now);
-        for server in fit {
-            if self.running.len() >= most {
-                return;
-            }
-            if self.running.contains_key(&server.id) || self.given_up.contains_key(&server.id) {
+        self.forget_past_dues(now, model);
+        let holders = servers.values().filter(|one| holds(one, model).is_some()).count();
+        let mut outdated = self.outdated(servers, model, version);
+        outdated.sort_by_key(|one| one.due.unwrap_or(Micros::MAX));
+        let most = self.at_once(now, holders, &outdated);
+        let mut missing = self.running.values().filter(|one| one.was_of_use && &*one.model == model).count();
+        for Outdated { server, due } in outdated {
+            let of_use = due.is_none_or(|due| now < due);
+            let free = !self.running.contains_key(&server.id) && !self.given_up.contains_key(&server.id);
+            if !free || server.draining || server.lost || (of_use && missing >= most) {
                 continue;
             }
-            let model: Arc<str> = Arc::from(model);
-            let mark = Ordered { model: model.clone(), version, done: false };
-            steps.push(Step::Mark(self.mark(fence, &server.id, &mark, false)));
-            let (address, stage) = (server.address, Stage::Held);
-            let running = Running { address, model, version, stage, since: now, due: now + HOLD_BEFORE };
-            self.running.insert(server.id.clone(), running);
+            missing += usize::from(of_use);
+            self.hold(now, fence, server, (model, version), of_use, steps);
         }
     }
 
-    /// How many servers load at once: few, but as many as it takes to be done in time. Once nothing new goes to those
-    /// that are left, nothing is lost by loading all of them.
-    fn at_once(&self, now: Micros, model: &str, holders: usize, left: usize) -> usize {
+    /// The servers that hold an older version of a model.
+    fn outdated<'a>(&self, servers: &'a Servers, model: &str, version: u64) -> Vec<Outdated<'a>> {
+        let held = servers.values().filter_map(|server| Some((server, self.held(server, model)?)));
+        let older = held.filter(|(_, held)| *held < version);
+        older.map(|(server, held)| Outdated { server, due: self.due_at(model, held) }).collect()
+    }
+
+    /// Has all nodes know that a server is about to load.
+    fn hold(
+        &mut self,
+        now: Micros,
+        fence: u64,
+        server: &Registration,
+        (model, version): (&str, u64),
+        was_of_use: bool,
+        steps: &mut Vec<Step>,
+    ) {
+        let model: Arc<str> = Arc::from(model);
+        let mark = Ordered { model: model.clone(), version, done: false };
+        steps.push(Step::Mark(self.mark(fence, &server.id, &mark, false)));
+        let (address, stage) = (server.address, Stage::Held);
+        let due = now + HOLD_BEFORE;
+        let running = Running { address, model, version, was_of_use, stage, since: now, due };
+        self.running.insert(server.id.clone(), running);
+    }
+
+    /// How many servers that are of use may be missing at once: few, but as many as it takes for each to be done in its
+    /// time. `outdated` are in the order of their times.
+    fn at_once(&self, now: Micros, holders: usize, outdated: &[Outdated<'_>]) -> usize {
         let few = (holders / AT_ONCE_SHARE).max(AT_ONCE_LEAST);
-        let Some(due) = self.due.get(model).copied() else { return few };
-        let batches = due.saturating_sub(now) / BATCH_TAKES;
-        if now >= due {
-            return left.max(few);
-        }
-        let in_time = left.div_ceil(batches.max(1) as usize);
-        few.max(in_time.min(holders / AT_ONCE_MOST))
+        let dues = outdated.iter().filter_map(|one| one.due).filter(|due| now < *due);
+        let in_time = dues.enumerate().map(|(before, due)| {
+            let batches = (due - now) / BATCH_TAKES;
+            (before + 1).div_ceil(batches.max(1) as usize)
+        });
+        few.max(in_time.max().unwrap_or(0).min(holders / AT_ONCE_MOST))
     }
 
     fn mark(&mut self, fence: u64, server: &str, ordered: &Ordered, ended: bool) -> Item {
--- a/dataplane/src/exchange.rs
+++ b/dataplane/src/exchange.rs
@@ -175,6 +175,7 @@
             // First of all: nothing is sent for a client that has gone.
             () = client.left() => Sent::ClientGone,
             result = self.send(&choice, progress, last_event, deadline) => result,
+            () = self.plane.outdated(choice.attempt) => Sent::Outdated,
             () = sleep_until(deadline) => Sent::Late,
         };
         let attempted = match result {
@@ -210,6 +211,16 @@
                 guard.end(AttemptOutcome::Broken, None);
                 Attempted::Failed
             }
+            Sent::Outdated => {
+                count(&self.plane.counters.outdated);
+                guard.end(AttemptOutcome::Outdated, None);
+                if progress.sent == sent_before {
+                    Attempted::NotSent
+                } else {
+                    progress.may_have_run = true;
+                    Attempted::Failed
+                }
+            }
             Sent::Late => {
                 progress.may_have_run |= progress.sent > sent_before;
                 guard.end(AttemptOutcome::TimedOut, None);
@@ -376,6 +387,7 @@
     NoConnection,
     Closed,
     Failed,
+    Outdated,
     Late,
     ClientGone,
 }
--- a/dataplane/src/relay.rs
+++ b/dataplane/src/relay.rs
@@ -12,7 +12,7 @@
 use crate::admission::Admitted;
 use crate::attempt::Upstream;
 use crate::events::EventSplitter;
-use crate::shared::DataPlane;
+use crate::shared::{DataPlane, count};
 
 /// Fields of an answer that the node sets itself.
 const OWN_FIELDS: [&str; 1] = ["connection"];
@@ -106,11 +106,16 @@
         loop {
             let mut bytes = self.plane.pool.chain();
             let most = self.plane.pool.piece();
+            let awaits_first_event = self.events.is_some() && !self.told;
             let Some(upstream) = &mut self.upstream else { return Relayed::Whole };
             let read = tokio::select! {
                 biased;
                 read = upstream.connection.read_piece(&mut upstream.body, &mut bytes, most) => read,
                 () = client.left() => return self.end(Relayed::ClientGone, AttemptOutcome::ClientGone),
+                () = self.plane.outdated(self.choice.attempt), if awaits_first_event => {
+                    count(&self.plane.counters.outdated);
+                    return self.end(Relayed::Cut, AttemptOutcome::Outdated);
+                }
                 () = sleep_until(self.deadline) => return self.end(Relayed::Cut, AttemptOutcome::TimedOut),
             };
             // What came before a break is used: a stream goes on behind it.
--- a/dataplane/src/shared.rs
+++ b/dataplane/src/shared.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use gradepaddle_config::{Configuration, Service, ServiceKind};
-use gradepaddle_engine::{Engine, Micros, ModelService, ServiceSpec, StoreService};
+use gradepaddle_engine::{AttemptId, Engine, Micros, ModelService, ServiceSpec, StoreService};
 use gradepaddle_http::buffers::Pool;
 use slog::{Logger, info};
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::feeds::Feeds;
 use crate::sharing::Sharing;
@@ -53,6 +53,8 @@
     pub failed: Cell<u64>,
     /// Attempts beyond the first of a request.
     pub repeats: Cell<u64>,
+    /// Attempts taken back, since they had not begun as their server's weights got too old.
+    pub outdated: Cell<u64>,
     /// Streams taken up at another server.
     pub resumed: Cell<u64>,
 }
@@ -78,6 +80,8 @@
     phase: watch::Sender<Phase>,
     open: Cell<usize>,
     has_control: Cell<bool>,
+    /// Told when versions are named or postponed.
+    versions_changed: watch::Sender<()>,
     pub(crate) feeds: Feeds,
     pub(crate) sharing: Sharing,
 }
@@ -98,6 +102,7 @@
             phase: watch::Sender::new(Phase::Serving),
             open: Cell::new(0),
             has_control: Cell::new(false),
+            versions_changed: watch::Sender::new(()),
             feeds: Feeds::default(),
             sharing: Sharing::default(),
         })
@@ -146,6 +151,36 @@
         self.shared_wall.get()
     }
 
+    /// Newer weights were named: nothing older may begin from `binds_in` after now.
+    pub fn name_version(&self, model: &str, version: u64, binds_in: Micros) {
+        let binds_at = self.now() + binds_in;
+        self.engine.borrow_mut().name_version(binds_at, model, version);
+        self.versions_changed.send_replace(());
+    }
+
+    /// The time within which a version has to be in use began anew: it ends `binds_in` after now.
+    pub fn postpone_version(&self, model: &str, version: u64, binds_in: Micros) {
+        let binds_at = self.now() + binds_in;
+        self.engine.borrow_mut().postpone_version(binds_at, model, version);
+        self.versions_changed.send_replace(());
+    }
+
+    /// Ready once an attempt has to be taken back: it has not begun, and its server's weights are about to be too old.
+    pub(crate) async fn outdated(&self, attempt: AttemptId) {
+        let mut changes = self.versions_changed.subscribe();
+        loop {
+            // The sender lives as long as this does: a change or a time-out ends each wait.
+            let by = self.engine.borrow().must_begin_by(attempt);
+            match by {
+                Some(by) if by <= self.now() => return,
+                Some(by) => {
+                    drop(timeout_at(self.started + Duration::from_micros(by), changes.changed()).await)
+                }
+                None => drop(changes.changed().await),
+            }
+        }
+    }
+
     /// Says whether the node has been in touch with control.
     pub fn set_has_control(&self, has: bool) {
         self.has_control.set(has);
--- a/engine/src/api.rs
+++ b/engine/src/api.rs
@@ -209,6 +209,8 @@
     Misdirected,
     /// 421: the weights are of another version than expected.
     VersionMismatch,
+    /// It was taken back, since it had not begun as its server's weights got too old.
+    Outdated,
     /// No connection came up.
     ConnectFailed,
     /// Reset, or cut midway.
@@ -268,12 +270,12 @@
     /// Makes the unique salts and the numbers of attempts of this node its own.
     #[builder(default = 0)]
     pub seed: u64,
-    /// Within which a named version must be used everywhere.
-    #[builder(default = 8_000_000)]
-    pub version_within: Micros,
-    /// How much sooner this node holds to it: requests wait in servers' queues.
+    /// From so long before a version binds, nothing is placed on older ones: requests wait in servers' queues.
     #[builder(default = 1_500_000)]
     pub version_margin: Micros,
+    /// What has not begun so long before its version is too old is taken back: that has to reach the server in time.
+    #[builder(default = 250_000)]
+    pub begin_margin: Micros,
     /// Repeats that each request pays for, over all nodes.
     #[builder(default = 0.2)]
     pub retry_ratio: f64,
--- a/engine/src/attempts.rs
+++ b/engine/src/attempts.rs
@@ -20,7 +20,9 @@
     /// What the first event was expected to take, if nothing stood before it.
     pub predicted_ms: Option<f64>,
     pub first_at: Option<Micros>,
-    pub version: Option<(u32, u64)>,
+    pub model: Option<u32>,
+    /// The version that its server was believed to have.
+    pub version: Option<u64>,
     pub key: u64,
     pub salt: u64,
     pub parts: Box<[Part]>,
@@ -59,7 +61,8 @@
             work,
             predicted_ms: clean.then_some(read),
             first_at: None,
-            version: request.model.and_then(|m| self.fleet.models.find(m)).zip(pick.version),
+            model: request.model.and_then(|m| self.fleet.models.find(m)),
+            version: pick.version,
             key,
             salt,
             parts: if pick.version.is_some() { request.parts.into() } else { Box::default() },
@@ -80,9 +83,8 @@
         told: Option<u64>,
     ) -> Option<OutdatedBegin> {
         let attempt = self.attempts.get(&attempt.0)?;
-        let (model, placed) = attempt.version?;
-        let version = told.unwrap_or(placed);
-        let binding = self.versions.binding(now, &self.fleet.models.name(model));
+        let version = told.or(attempt.version)?;
+        let binding = self.versions.binding(now, &self.fleet.models.name(attempt.model?));
         let waited = now.saturating_sub(attempt.sent);
         let outdated = (version < binding).then_some(OutdatedBegin { version, binding, waited });
         self.counters.begun_outdated += u64::from(outdated.is_some());
@@ -105,7 +107,7 @@
         for part in &attempt.parts {
             self.kept.set(attempt.server + STORES, attempt.salt, part.id, part.tokens);
         }
-        if let Some((_, version)) = attempt.version.filter(|_| !attempt.parts.is_empty()) {
+        if let Some(version) = attempt.version.filter(|_| !attempt.parts.is_empty()) {
             self.sightings.add(Sighting {
                 server: server.hash,
                 key: attempt.key,
@@ -145,13 +147,13 @@
             | AttemptOutcome::Broken
             | AttemptOutcome::TimedOut
             | AttemptOutcome::ServerError => server.suspect(now, attempt.sent),
-            AttemptOutcome::VersionMismatch | AttemptOutcome::ClientGone => {}
+            AttemptOutcome::VersionMismatch | AttemptOutcome::Outdated | AttemptOutcome::ClientGone => {}
         }
         if let Some(report) = load {
             server.load.report(attempt.first_at.unwrap_or(now), report);
         }
         if outcome == AttemptOutcome::VersionMismatch
-            && let Some((model, version)) = attempt.version
+            && let Some((model, version)) = attempt.model.zip(attempt.version)
         {
             self.fleet.deny(attempt.server, model, version);
         }
--- a/engine/src/choice.rs
+++ b/engine/src/choice.rs
@@ -4,7 +4,9 @@
 
 use crate::api::Micros;
 use crate::fleet::Row;
+use crate::load::micros;
 use crate::server::{Bar, Server};
+use crate::version::Binding;
 
 /// What crossing zones costs in milliseconds: less than any miss, so that it decides between holders.
 const FAR_MS: f64 = 1.0;
@@ -42,6 +44,10 @@
     pub(crate) model: Option<u32>,
     pub(crate) newest: u64,
     pub(crate) floor: u64,
+    /// The versions of the model that are about to bind.
+    pub(crate) ahead: Vec<Binding>,
+    /// How long before that an attempt has to have begun.
+    pub(crate) begin_margin: Micros,
     pub(crate) zone: u16,
 }
 
@@ -68,7 +74,14 @@
         let Some(model) = self.model else { return Some(None) };
         let version =
             if row.model == model { row.version } else { servers[row.server as usize].version_of(model) };
-        (self.floor == 0 || version.is_some_and(|v| v >= self.floor)).then_some(version)
+        let allowed = self.floor == 0 || version.is_some_and(|v| v >= self.floor);
+        (allowed && self.begins_in_time(row, version.unwrap_or(0))).then_some(version)
+    }
+
+    /// Whether a request that waits there as long as is expected begins before the version is too old.
+    fn begins_in_time(&self, row: &Row, version: u64) -> bool {
+        let expected = self.now + micros(self.load(row)) + self.begin_margin;
+        !self.ahead.iter().any(|newer| newer.version > version && newer.at < expected)
     }
 
     fn load(&self, row: &Row) -> f64 {
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -135,10 +135,10 @@
         self.fleet.set_balancers(count);
     }
 
-    /// Newer weights were named. Servers that have them are preferred from now on; those that don't are left out
-    /// from `version_within`, less `version_margin`, after `now`.
-    pub fn name_version(&mut self, now: Micros, model: &str, version: u64) {
-        self.versions.name(model, version, now + self.config.version_within);
+    /// Newer weights were named: from `binds_at` on nothing older may begin. Servers that have them are preferred from
+    /// now on; those that don't are left out where a request could not be sure to begin in time.
+    pub fn name_version(&mut self, binds_at: Micros, model: &str, version: u64) {
+        self.versions.name(model, version, binds_at);
     }
 
     /// Chooses a server and counts the attempt as in flight. Servers that were `tried` are chosen again only if no
--- a/engine/src/gate.rs
+++ b/engine/src/gate.rs
@@ -17,9 +17,19 @@
         self.fleet.seat(now, at);
     }
 
-    /// A version that was named binds as if it had been named now: the core was not stable since, so its time begins
+    /// A version that was named binds at this time, if that is later: the core was not stable since, so its time began
     /// anew. One that binds already goes on to do so.
-    pub fn postpone_version(&mut self, now: Micros, model: &str, version: u64) {
-        self.versions.postpone(model, version, now + self.config.version_within);
+    pub fn postpone_version(&mut self, binds_at: Micros, model: &str, version: u64) {
+        self.versions.postpone(model, version, binds_at);
+    }
+
+    /// The time by which an attempt has to have begun, since its server's weights are too old from then on; none if it
+    /// has begun, or nothing newer was named. Whoever made the attempt takes it back then.
+    pub fn must_begin_by(&self, attempt: AttemptId) -> Option<Micros> {
+        let attempt = self.attempts.get(&attempt.0).filter(|attempt| attempt.first_at.is_none())?;
+        let model = self.fleet.models.name(attempt.model?);
+        // One whose server's version is unknown may begin on any.
+        let outdated = self.versions.outdated_at(&model, attempt.version.unwrap_or(0))?;
+        Some(outdated.saturating_sub(self.config.begin_margin))
     }
 }
--- a/engine/src/version.rs
+++ b/engine/src/version.rs
@@ -38,9 +38,9 @@
 
 /// A version that was named, with the time from which on nothing older may begin at a server.
 #[derive(Clone, Copy, Debug)]
-struct Binding {
-    at: Micros,
-    version: u64,
+pub(crate) struct Binding {
+    pub(crate) at: Micros,
+    pub(crate) version: u64,
 }
 
 #[derive(Debug, Default)]
@@ -103,6 +103,21 @@
         (named.newest, named.floor)
     }
 
+    /// The versions that bind later than this time, with the time of each.
+    pub(crate) fn ahead(&self, now: Micros, model: &str) -> Vec<Binding> {
+        let named = self.models.get(model);
+        named.into_iter().flat_map(|named| &named.ahead).filter(|one| one.at > now).copied().collect()
+    }
+
+    /// From when on an attempt on this version may not begin any longer; none if nothing newer was named.
+    pub(crate) fn outdated_at(&self, model: &str, version: u64) -> Option<Micros> {
+        let named = self.models.get(model)?;
+        if version < named.binding {
+            return Some(0);
+        }
+        named.ahead.iter().filter(|one| one.version > version).map(|one| one.at).min()
+    }
+
     /// The oldest version that may begin at this time; 0 if none was named.
     pub(crate) fn binding(&mut self, now: Micros, model: &str) -> u64 {
         let Some(named) = self.models.get_mut(model) else { return 0 };
--- a/engine/src/warmth.rs
+++ b/engine/src/warmth.rs
@@ -60,6 +60,8 @@
             model,
             newest,
             floor,
+            ahead: request.model.map_or_else(Vec::new, |model| self.versions.ahead(now, model)),
+            begin_margin: self.config.begin_margin,
             zone: self.own_zone,
         };
         (terms, heads)
--- a/proto/src/spread.rs
+++ b/proto/src/spread.rs
@@ -37,7 +37,7 @@
         self.item.entry().encode(to);
         to.bytes(5, &self.item.payload);
         to.truth(6, self.item.removed);
-        to.number(7, u64::from(self.removed_ago_ms));
+        to.number(7, u64::from(self.age_ms));
     }
 }
 
@@ -45,7 +45,7 @@
     fn decode(fields: &Fields<'_>) -> Result<Self, DecodeError> {
         let Entry { kind, key, stamp } = Entry::decode(fields)?;
         let item = Item { kind, key, stamp, payload: Arc::from(fields.bytes(5)), removed: fields.truth(6) };
-        Ok(Aged { item, removed_ago_ms: u32::try_from(fields.number(7)).unwrap_or(u32::MAX) })
+        Ok(Aged { item, age_ms: u32::try_from(fields.number(7)).unwrap_or(u32::MAX) })
     }
 }
 
--- a/spread/src/item.rs
+++ b/spread/src/item.rs
@@ -38,14 +38,14 @@
     }
 }
 
-/// An item as it travels: a tombstone with its age, so that it is forgotten everywhere at about the same time,
-/// however late it came to a node.
+/// An item as it travels, with its age: however late it comes to a node, what counts from its publication (the time of
+/// a tombstone, a bound that its meaning sets) counts from the same moment everywhere.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Aged {
     /// The item.
     pub item: Item,
-    /// For a tombstone: milliseconds since it was published, without the time on the way. Zero for others.
-    pub removed_ago_ms: u32,
+    /// Milliseconds since it was published, without the time on the way.
+    pub age_ms: u32,
 }
 
 /// The name and stamp of an item, without its payload.
--- a/spread/src/replica.rs
+++ b/spread/src/replica.rs
@@ -23,10 +23,18 @@
 struct Held {
     item: Item,
     taken_at: u64,
+    /// How old it was then.
+    age_then: u64,
     /// For a tombstone, when it is forgotten.
     forget_at: u64,
 }
 
+impl Held {
+    fn age(&self, now: u64) -> u64 {
+        self.age_then.saturating_add(now.saturating_sub(self.taken_at))
+    }
+}
+
 /// All items that a node holds.
 #[derive(Debug)]
 pub(crate) struct Replica {
@@ -78,22 +86,22 @@
         self.held(entry.kind, &entry.key).is_some_and(|held| held.taken_at > time)
     }
 
-    /// The item as it is to be sent, a tombstone with its age.
+    /// How long ago the item was published, as far as is known here.
+    pub(crate) fn age(&self, now: u64, kind: Kind, key: &str) -> Option<u64> {
+        self.held(kind, key).map(|held| held.age(now))
+    }
+
+    /// The item as it is to be sent.
     pub(crate) fn aged(&self, now: u64, kind: Kind, key: &str) -> Option<Aged> {
         let held = self.held(kind, key)?;
-        let age = if held.item.removed {
-            self.tombstone_for.saturating_sub(held.forget_at.saturating_sub(now))
-        } else {
-            0
-        };
-        let removed_ago_ms = u32::try_from(age / MILLISECOND_US).unwrap_or(u32::MAX);
-        Some(Aged { item: held.item.clone(), removed_ago_ms })
+        let age_ms = u32::try_from(held.age(now) / MILLISECOND_US).unwrap_or(u32::MAX);
+        Some(Aged { item: held.item.clone(), age_ms })
     }
 
     /// Takes an item in if it is newer than what is held. Returns whether it was.
     pub(crate) fn take(&mut self, now: u64, aged: &Aged) -> bool {
-        let Aged { item, removed_ago_ms } = aged;
-        let age = u64::from(*removed_ago_ms) * MILLISECOND_US;
+        let Aged { item, age_ms } = aged;
+        let age = u64::from(*age_ms) * MILLISECOND_US;
         let before = self.get(item.kind, &item.key);
         let is_late_tombstone = item.removed && age >= self.tombstone_for && before.is_none();
         if is_late_tombstone || before.is_some_and(|before| before.stamp >= item.stamp) {
@@ -101,11 +109,12 @@
         }
         let was_living = before.is_some_and(|before| !before.removed);
         self.living = self.living + usize::from(!item.removed) - usize::from(was_living);
-        self.put(now, item, now.saturating_add(self.tombstone_for.saturating_sub(age)));
+        self.put(now, item, age);
         true
     }
 
-    fn put(&mut self, now: u64, item: &Item, forget_at: u64) {
+    fn put(&mut self, now: u64, item: &Item, age: u64) {
+        let forget_at = now.saturating_add(self.tombstone_for.saturating_sub(age));
         self.ranges.remove(item.kind, &item.key);
         if !item.removed || now < self.quiet_at(forget_at) {
             self.ranges.insert(item.entry());
@@ -113,7 +122,7 @@
         if item.removed {
             self.due.insert((self.quiet_at(forget_at), item.entry().name()));
         }
-        let held = Held { item: item.clone(), taken_at: now, forget_at };
+        let held = Held { item: item.clone(), taken_at: now, age_then: age, forget_at };
         self.held.entry(item.kind).or_default().insert(Arc::clone(&item.key), held);
     }
 
--- a/spread/src/spread.rs
+++ b/spread/src/spread.rs
@@ -130,7 +130,7 @@
     }
 
     fn take_own(&mut self, now: u64, item: &Item, out: &mut Vec<Output>) -> bool {
-        let is_new = self.replica.take(now, &Aged { item: item.clone(), removed_ago_ms: 0 });
+        let is_new = self.replica.take(now, &Aged { item: item.clone(), age_ms: 0 });
         if is_new {
             out.push(Output::Changed(item.clone()));
         }
@@ -196,6 +196,11 @@
         self.replica.get(kind, key).filter(|item| !item.removed)
     }
 
+    /// How long ago (microseconds) the item of this name, or its tombstone, was published, without its time on the way.
+    pub fn age(&self, now: u64, kind: Kind, key: &str) -> Option<u64> {
+        self.replica.age(now, kind, key)
+    }
+
     /// The newest stamp that is known of a name, that of a tombstone included: what is published must be above it.
     pub fn stamp(&self, kind: Kind, key: &str) -> Option<Stamp> {
         self.replica.get(kind, key).map(|item| item.stamp)
--- a/system/src/effects.rs
+++ b/system/src/effects.rs
@@ -83,14 +83,12 @@
         self.plane.store_told(name, alive);
     }
 
-    fn weights_named(&self, model: &str, version: u64, age: Micros) {
-        let named = self.plane.now().saturating_sub(age);
-        self.plane.engine.borrow_mut().name_version(named, model, version);
+    fn weights_named(&self, model: &str, version: u64, binds_in: Micros) {
+        self.plane.name_version(model, version, binds_in);
     }
 
-    fn weights_postponed(&self, model: &str, version: u64) {
-        let now = self.plane.now();
-        self.plane.engine.borrow_mut().postpone_version(now, model, version);
+    fn weights_postponed(&self, model: &str, version: u64, binds_in: Micros) {
+        self.plane.postpone_version(model, version, binds_in);
     }
 
     fn hold(&self, server: &str, span: Micros) {
--- a/system/src/run.rs
+++ b/system/src/run.rs
@@ -191,7 +191,6 @@
     let engine = EngineConfig::builder()
         .own_zone(&*settings.zone)
         .seed(random())
-        .version_within(micros(bounds.version))
         .retry_ratio(bounds.retry_ratio)
         .retry_slack(bounds.retry_slack)
         .retry_window(micros(bounds.retry_window))
