--- /dev/null
+++ b/controlplane/tests/weights.rs
@@ -0,0 +1,96 @@
+//! When a named version binds at a node, however late the node hears of it.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{MS, SECOND, address, addresses, identity, lone_spread};
+use googletest::prelude::*;
+use gradepaddle_controlplane::Micros;
+use gradepaddle_controlplane::kinds::{self, WEIGHTS};
+use gradepaddle_controlplane::node::{Input, Node, NodeSetup, Output};
+use gradepaddle_controlplane::session::OwnSession;
+use gradepaddle_proto::{Content, Envelope};
+use gradepaddle_spread::{Aged, Message, Stamp};
+
+const MODEL: &str = "advisor";
+const WITHIN: Micros = 8 * SECOND;
+
+/// A node without a disk.
+fn node() -> Node {
+    Node::new(NodeSetup {
+        session: OwnSession::new(identity(1, 1), addresses([3, 4]), 0),
+        spread: lone_spread(1),
+        founding: None,
+        beat_every: 1_200 * MS,
+        order_lease: 3 * SECOND,
+        version_within: WITHIN,
+        machine_losses: 1,
+        now: 0,
+    })
+}
+
+/// What a node tells its data plane: the version, when it binds, and whether it is a postponement.
+#[derive(Debug, PartialEq)]
+struct Told {
+    version: u64,
+    binds_at: Micros,
+    postponed: bool,
+}
+
+/// Another node passes on that a version was named so many milliseconds ago, in its first or a later publication.
+fn learn(node: &mut Node, now: Micros, (version, publication): (u64, u64), age_ms: u32) -> Vec<Told> {
+    let item = kinds::item(WEIGHTS, MODEL, Stamp { major: version, minor: publication }, Vec::new());
+    let items = vec![Aged { item, age_ms }];
+    let content = Content::Spread(Message::Push { items, confirm: false, repair: false });
+    let mut out = Vec::new();
+    node.handle(now, Input::Envelope(Envelope { from: address(3), content }), &mut out);
+    out.into_iter().filter_map(|output| told(now, output)).collect()
+}
+
+fn told(now: Micros, output: Output) -> Option<Told> {
+    let (model, version, binds_in, postponed) = match output {
+        Output::WeightsNamed { model, version, binds_in } => (model, version, binds_in, false),
+        Output::WeightsPostponed { model, version, binds_in } => (model, version, binds_in, true),
+        _ => return None,
+    };
+    assert_eq!(model, Arc::from(MODEL));
+    Some(Told { version, binds_at: now + binds_in, postponed })
+}
+
+#[gtest]
+fn a_version_binds_when_it_would_have_bound_however_late_it_is_heard_of() {
+    // When the node hears of it after its own start, and how long after the naming that is.
+    for (heard_at, age) in
+        [(0, 0), (0, 5 * SECOND), (300 * MS, 7 * SECOND), (2 * SECOND, 20), (60 * SECOND, 6 * SECOND)]
+    {
+        let age_ms = u32::try_from(age / MS).expect("a short time");
+        let told = learn(&mut node(), heard_at, (2, 0), age_ms);
+        let binds_at = heard_at + WITHIN - u64::from(age_ms) * MS;
+        let expected = Told { version: 2, binds_at, postponed: false };
+        expect_that!(told, elements_are![eq(&expected)], "heard at {heard_at}, {age} after it was named");
+    }
+}
+
+#[gtest]
+fn one_that_is_heard_of_after_its_time_binds_at_once() {
+    let told = learn(&mut node(), 300 * MS, (2, 0), 60_000);
+    expect_that!(told, elements_are![eq(&Told { version: 2, binds_at: 300 * MS, postponed: false })]);
+}
+
+#[gtest]
+fn a_time_that_began_anew_counts_from_then_also_where_it_is_heard_of_late() {
+    let mut node = node();
+    learn(&mut node, SECOND, (2, 0), 0);
+    let told = learn(&mut node, 6 * SECOND, (2, 7), 1_000);
+    let postponed = Told { version: 2, binds_at: 5 * SECOND + WITHIN, postponed: true };
+    expect_that!(told, elements_are![eq(&postponed)]);
+    // An old publication that comes late says nothing.
+    expect_that!(learn(&mut node, 7 * SECOND, (2, 0), 6_000), is_empty());
+    // A newer version has a time of its own.
+    let told = learn(&mut node, 7 * SECOND, (3, 0), 0);
+    expect_that!(
+        told,
+        elements_are![eq(&Told { version: 3, binds_at: 7 * SECOND + WITHIN, postponed: false })]
+    );
+}
--- a/dataplane/src/exchange.rs
+++ b/dataplane/src/exchange.rs
@@ -212,7 +212,7 @@
                 Attempted::Failed
             }
             Sent::Outdated => {
-                count(&self.plane.counters.outdated);
+                self.plane.took_back(&choice.server);
                 guard.end(AttemptOutcome::Outdated, None);
                 if progress.sent == sent_before {
                     Attempted::NotSent
--- a/dataplane/src/relay.rs
+++ b/dataplane/src/relay.rs
@@ -12,7 +12,7 @@
 use crate::admission::Admitted;
 use crate::attempt::Upstream;
 use crate::events::EventSplitter;
-use crate::shared::{DataPlane, count};
+use crate::shared::DataPlane;
 
 /// Fields of an answer that the node sets itself.
 const OWN_FIELDS: [&str; 1] = ["connection"];
@@ -113,7 +113,7 @@
                 read = upstream.connection.read_piece(&mut upstream.body, &mut bytes, most) => read,
                 () = client.left() => return self.end(Relayed::ClientGone, AttemptOutcome::ClientGone),
                 () = self.plane.outdated(self.choice.attempt), if awaits_first_event => {
-                    count(&self.plane.counters.outdated);
+                    self.plane.took_back(&self.choice.server);
                     return self.end(Relayed::Cut, AttemptOutcome::Outdated);
                 }
                 () = sleep_until(self.deadline) => return self.end(Relayed::Cut, AttemptOutcome::TimedOut),
--- a/dataplane/src/shared.rs
+++ b/dataplane/src/shared.rs
@@ -181,6 +181,12 @@
         }
     }
 
+    /// An attempt was taken back, since it had not begun as its server's weights got too old.
+    pub(crate) fn took_back(&self, server: &str) {
+        count(&self.counters.outdated);
+        info!(self.log, "request taken back"; "server" => server);
+    }
+
     /// Says whether the node has been in touch with control.
     pub fn set_has_control(&self, has: bool) {
         self.has_control.set(has);
--- a/spread/tests/repair.rs
+++ b/spread/tests/repair.rs
@@ -180,3 +180,25 @@
     fleet.run_for(10 * SECOND);
     expect_that!(all_have(&fleet, 3_000), eq(true));
 }
+
+/// Whatever way an item takes, and however long it stays anywhere, all know when it was published.
+#[gtest]
+fn its_age_comes_along_with_an_item() {
+    for nodes in [3, 9, 78] {
+        let mut fleet = Simulation::new(nodes, 14);
+        fleet.run_for(SECOND);
+        (0..nodes).for_each(|node| fleet.group[node] = node % 2);
+        let published = fleet.now;
+        fleet.publish(0, item("named", 1, b""));
+        fleet.run_for(5 * SECOND);
+        fleet.group.fill(0);
+        fleet.run_for(3 * SECOND);
+        fleet.restart(nodes - 1);
+        fleet.run_for(3 * SECOND);
+        let age = fleet.now - published;
+        for node in fleet.nodes.iter().flatten() {
+            let told = node.age(fleet.now, KIND, "named");
+            expect_that!(told, some(all![le(age), ge(age - 50 * MS)]), "{nodes} nodes, published {age} ago");
+        }
+    }
+}
