--- a/control/src/config.rs
+++ b/control/src/config.rs
@@ -44,6 +44,13 @@
     pub flaw: Option<Flaw>,
 }
 
+impl ReplicaConfig {
+    /// Clocks of two replicas differ in rate by one part in this many at the most: what the margin of the lease allows.
+    pub(crate) fn clock_drift(&self) -> u64 {
+        (self.lease / self.lease_margin.max(1)).saturating_sub(1).max(1)
+    }
+}
+
 /// Faults of the protocol that tests build in to show that they would be noticed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Flaw {
--- a/control/src/heartbeat.rs
+++ b/control/src/heartbeat.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     Ballot, Body, KnownView, Output, Replica, ReplicaId,
-    lease::{Grant, Health, lease_until},
+    lease::{Grant, Health, PrimaryClock, lease_until},
 };
 
 impl Replica {
@@ -80,9 +80,9 @@
         let lasting = self.disk.durable_promise().is_some_and(|ballot| ballot.candidate == sender);
         let granted = promised.filter(|_| lasting);
         if let Some(ballot) = granted {
-            self.granted = Some(Grant { ballot, until: self.now() + self.config.lease });
-            self.hear();
-            self.poll = None;
+            let sent_at = self.sent_at(epoch, sent);
+            self.grant(ballot, sent_at + self.config.lease);
+            self.hear_at(sent_at);
             if self.view_epoch() == epoch {
                 self.note_active(out);
             }
@@ -96,6 +96,28 @@
         }
     }
 
+    /// When a heartbeat left at the latest, by this replica's clock. It may have been on its way for long, and its sender
+    /// may be gone: its lease counts from its sending, as at the sender.
+    fn sent_at(&mut self, epoch: u64, sent: u64) -> u64 {
+        let (now, drift) = (self.now(), self.config.clock_drift());
+        let known = self.primary_clock.filter(|clock| clock.epoch == epoch);
+        let sent_at = known.map_or(now, |clock| clock.sent_at(sent, drift).min(now));
+        if sent_at == now {
+            self.primary_clock = Some(PrimaryClock { epoch, sent, heard: now });
+        }
+        sent_at
+    }
+
+    /// Grants a lease, unless a longer one was granted to the candidate before.
+    fn grant(&mut self, ballot: Ballot, until: u64) {
+        let before = self.granted.filter(|grant| grant.ballot.candidate == ballot.candidate);
+        let until = before.map_or(until, |grant| grant.until.max(until));
+        self.granted = Some(Grant { ballot, until });
+        if until > self.now() {
+            self.poll = None;
+        }
+    }
+
     fn echo(&self, (epoch, sent): (u64, u64), granted: bool, settled: bool) -> Body {
         Body::Echo {
             epoch,
--- a/control/src/lease.rs
+++ b/control/src/lease.rs
@@ -35,6 +35,29 @@
     }
 }
 
+/// What a member knows of its primary's clock: a heartbeat of that one's process, and when it came.
+///
+/// A process leads in an epoch that no other process leads in, and its steady clock is never set, so what it sent later
+/// in that epoch left later by as much as its clock says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct PrimaryClock {
+    /// The epoch of the heartbeat.
+    pub epoch: u64,
+    /// When it was sent, by the primary's clock.
+    pub sent: u64,
+    /// When it came, by the member's clock.
+    pub heard: u64,
+}
+
+impl PrimaryClock {
+    /// When another heartbeat of the epoch left at the latest, by the member's clock. The clocks differ in rate by one
+    /// part in `drift` at the most.
+    pub fn sent_at(&self, sent: u64, drift: u64) -> u64 {
+        let later = sent.saturating_sub(self.sent);
+        self.heard + later + later.div_ceil(drift)
+    }
+}
+
 /// What a replica tells of itself with each echo.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Health {
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -10,7 +10,7 @@
     disk::{Disk, Effect},
     handover::Handover,
     leadership::{Leadership, Proposal},
-    lease::{Grant, Health, HeldLease},
+    lease::{Grant, Health, HeldLease, PrimaryClock},
 };
 
 /// A replica that isn't a member asks to join this often.
@@ -27,6 +27,7 @@
     pub(crate) committed: Arc<ControlState>,
     pub(crate) disk: Disk,
     pub(crate) granted: Option<Grant>,
+    pub(crate) primary_clock: Option<PrimaryClock>,
     /// The latest candidate that was sent the data with a promise.
     pub(crate) data_sent: Option<DataSent>,
     pub(crate) highest_epoch: u64,
@@ -71,6 +72,7 @@
             committed: recovered.data.as_ref().map(|data| Arc::clone(&data.state)).unwrap_or_default(),
             disk: Disk::recovered(promised),
             granted: promised.map(|ballot| Grant { ballot, until: now + lease }),
+            primary_clock: None,
             data_sent: None,
             highest_epoch: promised.map_or(0, |ballot| ballot.epoch).max(view_epoch),
             last_heard: now,
@@ -359,8 +361,15 @@
 
     /// Notes a sign that somebody leads or is about to.
     pub(crate) fn hear(&mut self) {
-        self.last_heard = self.now;
-        self.head_start = 0;
+        self.hear_at(self.now);
+    }
+
+    /// Notes a sign that left its sender at this time.
+    pub(crate) fn hear_at(&mut self, time: u64) {
+        if time >= self.last_heard {
+            self.last_heard = time;
+            self.head_start = 0;
+        }
     }
 
     pub(crate) fn note_epoch(&mut self, epoch: u64) {
--- a/control/tests/second_losses.rs
+++ b/control/tests/second_losses.rs
@@ -119,7 +119,7 @@
     explore(Rounds { power_losses_at_changes: true, ..ROUNDS })
 }
 
-/// A heartbeat that comes 2.5 s late renews the lease of a primary that is gone for good.
+/// A heartbeat that comes 2.5 s late must not renew the lease of a primary that is gone for good.
 #[gtest]
 fn losses_after_a_heartbeat_that_comes_late() -> Result<()> {
     const SEED: u64 = 8_583;
