--- a/controlplane/src/node.rs
+++ b/controlplane/src/node.rs
@@ -2,24 +2,26 @@
 
 mod control;
 mod members;
+mod messages;
 mod serving;
+mod status;
+
+pub use messages::{Event, Input, Output};
+pub use status::Status;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use gradepaddle_control::{Input as ReplicaInput, Output as ReplicaOutput, Record, Replica, Token};
-use gradepaddle_engine::ServerEntry;
+use gradepaddle_control::{Input as ReplicaInput, Output as ReplicaOutput, Replica};
 use gradepaddle_proto::{Content, Envelope, Identity, Registration};
 use gradepaddle_spread::{Output as SpreadOutput, Spread};
-use serde::Serialize;
 
 use crate::Micros;
 use crate::absence::Absence;
-use crate::calls::{Answer, Call};
 use crate::founding::Founding;
 use crate::registry::Registry;
-use crate::rollout::{Order, OrderAnswer, Ordered, Rollout};
+use crate::rollout::Rollout;
 use crate::session::OwnSession;
 use crate::sessions::HeldSessions;
 
@@ -33,198 +35,6 @@
 /// So much longer for each byte of its body, which has to reach the primary and its backups first.
 const CALL_WITHIN_PER_BYTE: Micros = 1;
 
-/// What happens to a node.
-pub enum Input {
-    /// Time has passed.
-    Tick,
-    /// A message of another node.
-    Envelope(Envelope),
-    /// A server or the operator calls.
-    Call {
-        /// Names the answer.
-        ticket: u64,
-        /// The call.
-        call: Call,
-    },
-    /// A write is on disk.
-    Persisted(Token),
-    /// A write failed.
-    PersistFailed(Token),
-    /// A server answered an order.
-    OrderAnswered {
-        /// The order.
-        order: Order,
-        /// Its answer.
-        answer: OrderAnswer,
-    },
-    /// A server reported the version of a model that it holds.
-    Reported {
-        /// The server.
-        server: Arc<str>,
-        /// The model.
-        model: Arc<str>,
-        /// The version.
-        version: u64,
-    },
-    /// The disk is open: this node keeps a replica from now on.
-    Replica(Box<Replica>),
-    /// A store of kept parts answers, or does so no longer.
-    Store {
-        /// The store.
-        name: Arc<str>,
-        /// It answers.
-        alive: bool,
-    },
-    /// The settings name other seeds.
-    Seeds(Vec<SocketAddrV4>),
-    /// The process is about to end.
-    Leaving,
-}
-
-/// What a node is to do.
-#[derive(Debug)]
-pub enum Output {
-    /// Send to another node.
-    Send {
-        /// To whom.
-        to: SocketAddrV4,
-        /// What.
-        content: Content,
-    },
-    /// Write to disk.
-    Persist {
-        /// Names the end of the write.
-        token: Token,
-        /// What.
-        records: Vec<Record>,
-    },
-    /// Answer a call.
-    Answer {
-        /// The call.
-        ticket: u64,
-        /// The answer.
-        answer: Answer,
-    },
-    /// Put this configuration in force.
-    Configure(Arc<[u8]>),
-    /// A server is there, or has changed.
-    Server(ServerEntry),
-    /// A server is gone.
-    ServerGone(Arc<str>),
-    /// The other balancers.
-    Peers(Vec<SocketAddrV4>),
-    /// This node's place in an order of all nodes that all agree on, from 0.
-    Rank(usize),
-    /// Another node has told whether a store answers.
-    Store {
-        /// The store.
-        name: Arc<str>,
-        /// It answers.
-        alive: bool,
-    },
-    /// Newer weights were named.
-    WeightsNamed {
-        /// The model.
-        model: Arc<str>,
-        /// The version.
-        version: u64,
-        /// From when on nothing older may begin, counted from now.
-        binds_in: Micros,
-    },
-    /// The time within which a version has to be in use begins anew.
-    WeightsPostponed {
-        /// The model.
-        model: Arc<str>,
-        /// The version.
-        version: u64,
-        /// From when on nothing older may begin, counted from now.
-        binds_in: Micros,
-    },
-    /// A server is about to load weights: nothing new goes there for this long.
-    Hold {
-        /// The server.
-        server: Arc<str>,
-        /// For how long; 0: no longer.
-        span: Micros,
-    },
-    /// A server holds this version of a model.
-    Holds {
-        /// The server.
-        server: Arc<str>,
-        /// The model.
-        model: Arc<str>,
-        /// The version.
-        version: u64,
-    },
-    /// Give an order to a server.
-    Order(Order),
-    /// Ask a server for its report.
-    Ask {
-        /// The server.
-        server: Arc<str>,
-        /// Where it is reached.
-        address: SocketAddrV4,
-    },
-    /// The node has, or lacks, a session with control.
-    InTouch(bool),
-    /// What is worth a line in the log.
-    Event(Event),
-    /// The control state is in other hands: the process may end.
-    MayEnd,
-}
-
-/// What is worth a line in the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Event {
-    /// This node leads the control state.
-    Leading {
-        /// The epoch.
-        epoch: u64,
-    },
-    /// It does not any longer.
-    NotLeading,
-    /// It told others of the first view.
-    Founded {
-        /// How many members it has.
-        members: usize,
-    },
-    /// A model server has fallen silent.
-    ServerLost {
-        /// The server.
-        id: Arc<str>,
-    },
-    /// This node has heard that newer weights were named.
-    VersionNamed {
-        /// The model.
-        model: Arc<str>,
-        /// The version.
-        version: u64,
-        /// From when on nothing older may begin, counted from now.
-        binds_in: Micros,
-    },
-    /// This node, which leads, holds a server back from new requests: it is to load a version.
-    LoadingBegun {
-        /// The server.
-        server: Arc<str>,
-        /// What it is to load.
-        target: Ordered,
-    },
-    /// It is open again: it holds the version, or was given up.
-    LoadingEnded {
-        /// The server.
-        server: Arc<str>,
-        /// What it was to load, and whether it holds that.
-        target: Ordered,
-    },
-    /// A server answered an order, or did not in time.
-    OrderAnswered {
-        /// The order.
-        order: Order,
-        /// The answer.
-        answer: OrderAnswer,
-    },
-}
-
 /// What a node is told at its start.
 pub struct NodeSetup {
     /// The part of the session.
@@ -309,50 +119,6 @@
     absent_due: Micros,
 }
 
-/// The state of a node for operators.
-#[derive(Debug, Serialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Status {
-    node: String,
-    zone: String,
-    address: SocketAddrV4,
-    epoch: u64,
-    primary: Option<SocketAddrV4>,
-    members: Vec<SocketAddrV4>,
-    role: Option<String>,
-    leading: Option<u64>,
-    sequence: Option<u64>,
-    disk_well: Option<bool>,
-    configuration_version: u64,
-    weights: BTreeMap<String, u64>,
-    balancers: Vec<BalancerStatus>,
-    servers: Vec<ServerStatus>,
-    items: usize,
-}
-
-/// A node of the fleet for operators.
-#[derive(Debug, Serialize)]
-#[serde(rename_all = "camelCase")]
-struct BalancerStatus {
-    name: String,
-    address: SocketAddrV4,
-    zone: String,
-    control: bool,
-    session_with: SocketAddrV4,
-}
-
-/// A model server for operators.
-#[derive(Debug, Serialize)]
-#[serde(rename_all = "camelCase")]
-struct ServerStatus {
-    id: String,
-    service: String,
-    address: SocketAddrV4,
-    zone: String,
-    state: &'static str,
-    heartbeats_at: SocketAddrV4,
-}
-
 impl Node {
     /// A node that knows nobody yet.
     pub fn new(setup: NodeSetup) -> Self {
--- a/controlplane/src/node/serving.rs
+++ b/controlplane/src/node/serving.rs
@@ -7,12 +7,10 @@
 use gradepaddle_proto::{Decode, Registration};
 use gradepaddle_spread::{Item, Stamp};
 
-use super::{BalancerStatus, Event, Node, Output, ServerStatus, Status};
+use super::{Event, Node, Output};
 use crate::Micros;
-use crate::calls::Answer;
-use crate::kinds::{self, CONFIGURATION, CONFIGURATION_KEY, ORDERED, SERVER, STORE, WEIGHTS};
+use crate::kinds::{self, CONFIGURATION, ORDERED, SERVER, STORE, WEIGHTS};
 use crate::rollout::{Ordered, Step};
-use crate::sessions;
 
 /// A server whose node has been missing for this long, and that no other node has heard of since, counts as lost.
 const OWNERLESS_AFTER: Micros = 5_000_000;
@@ -196,48 +194,6 @@
         let lease = self.replica.as_ref()?.held_lease(now)?;
         (lease.epoch == fence && self.rollout.may_order(fence)).then_some(lease.until)
     }
-
-    pub(super) fn status(&self, now: Micros) -> Answer {
-        let identity = self.session.identity();
-        let view = self.view_summary();
-        let replica = self.replica.as_ref().map(|replica| replica.status());
-        let configuration = self.spread.get(CONFIGURATION, CONFIGURATION_KEY);
-        let status = Status {
-            node: identity.name.to_string(),
-            zone: identity.zone.to_string(),
-            address: self.own,
-            epoch: view.epoch,
-            primary: view.primary,
-            members: view.members.clone(),
-            role: replica.as_ref().map(|replica| format!("{:?}", replica.role).to_lowercase()),
-            leading: self.replica.as_ref().and_then(|replica| replica.leading(now)),
-            sequence: replica.as_ref().and_then(|replica| replica.sequence),
-            disk_well: replica.as_ref().map(|replica| replica.disk_well),
-            configuration_version: configuration.map_or(0, |item| item.stamp.major),
-            weights: self.named.clone(),
-            balancers: self.balancer_status(&view.members),
-            servers: self.servers.values().map(server_status).collect(),
-            items: self.spread.len(),
-        };
-        // These types always become JSON.
-        let body = serde_json::to_vec(&status).unwrap_or_default();
-        Answer { status: 200, body: body.into(), valid_until: None }
-    }
-
-    fn balancer_status(&self, members: &[std::net::SocketAddrV4]) -> Vec<BalancerStatus> {
-        let sessions = sessions::live(&self.spread);
-        let mut all: Vec<BalancerStatus> = sessions
-            .map(|(_, session)| BalancerStatus {
-                name: session.identity.name.to_string(),
-                address: session.identity.address,
-                zone: session.identity.zone.to_string(),
-                control: members.contains(&session.identity.address),
-                session_with: session.holder,
-            })
-            .collect();
-        all.sort_by(|a, b| a.name.cmp(&b.name));
-        all
-    }
 }
 
 /// What a mark of this node's own roll-out says, for the log.
@@ -250,21 +206,6 @@
     })
 }
 
-fn server_status(server: &Registration) -> ServerStatus {
-    ServerStatus {
-        id: server.id.to_string(),
-        service: server.service.to_string(),
-        address: server.address,
-        zone: server.zone.to_string(),
-        state: match (server.lost, server.draining) {
-            (true, _) => "lost",
-            (_, true) => "draining",
-            _ => "ready",
-        },
-        heartbeats_at: server.owner,
-    }
-}
-
 /// A server as the data plane's engine knows it.
 fn entry(registration: &Registration, lost: bool) -> ServerEntry {
     let state = match (registration.draining, lost) {
--- a/controlplane/tests/fleet/outage.rs
+++ b/controlplane/tests/fleet/outage.rs
@@ -28,6 +28,10 @@
     OtherCore,
     /// A machine without a disk.
     WithoutDisk,
+    /// Half of the machines with a disk, rounded down; the one that leads is among them.
+    HalfWithPrimary,
+    /// The same, without the one that leads.
+    HalfWithoutPrimary,
 }
 
 /// How it loses contact.
@@ -118,11 +122,25 @@
                 let zone = self.machines.iter().filter(|one| one.zone == primary.zone);
                 zone.map(|one| one.number).collect()
             }
+            Victim::HalfWithPrimary => self.half_of_core(primary.number, true),
+            Victim::HalfWithoutPrimary => self.half_of_core(primary.number, false),
             Victim::OtherCore => other(true),
             Victim::WithoutDisk => other(false),
         }
     }
 
+    fn half_of_core(&self, primary: usize, with_primary: bool) -> Vec<usize> {
+        let core = self.machines.iter().filter(|one| one.core).map(|one| one.number);
+        let (mut half, others): (Vec<usize>, Vec<usize>) = core.partition(|number| *number == primary);
+        let size = (half.len() + others.len()) / 2;
+        if !with_primary {
+            half.clear();
+        }
+        half.extend(others);
+        half.truncate(size);
+        half
+    }
+
     fn begin_outage(&mut self, outage: Outage) {
         let (now, apart) = (self.now, self.victims(outage.victim));
         if apart.is_empty() {
--- a/controlplane/tests/outages.rs
+++ b/controlplane/tests/outages.rs
@@ -97,6 +97,32 @@
     play(3, 1, Victim::WithoutDisk)
 }
 
+/// The core is cut into halves, whatever may be lost at once; all other machines, servers and callers reach both. An odd
+/// core goes on in its larger part, an even one rests; nobody says anything clear that is old.
+#[gtest]
+fn the_core_in_halves() -> Result<()> {
+    const LASTS: Micros = 8 * SECOND;
+    for (cores, losses) in [(3, 1), (4, 1), (5, 2), (8, 2)] {
+        for victim in [Victim::HalfWithPrimary, Victim::HalfWithoutPrimary] {
+            let whole = plan(cores, losses, victim, Trouble::CutFromCore);
+            let outage = Some(Outage { victim, trouble: Trouble::CutFromCore, lasts: LASTS });
+            let halves = Plan { outage, calm_for: LASTS + 8 * SECOND, ..whole };
+            let mut total = Report::default();
+            for seed in seeds() {
+                let report = World::new(halves.clone(), seed).play();
+                expect_that!(report.violation, none(), "{cores} cores, {victim:?}, seed {seed}");
+                total.add(&report);
+            }
+            // An even core has nobody who leads until it is whole again.
+            let rests = if cores % 2 == 0 { LASTS } else { 0 };
+            expect_that!(total.others_after, lt(rests + 4 * SECOND), "{cores} cores, {victim:?}");
+            expect_that!(total.answers_after, lt(4 * SECOND), "{cores} cores, {victim:?}");
+            expect_that!(total.applied_after, lt(4 * SECOND), "{cores} cores, {victim:?}");
+        }
+    }
+    Ok(())
+}
+
 /// A large fleet: eight machines with a disk in three zones, so that several are cut off together.
 #[gtest]
 fn the_zone_of_the_primary_of_seventy_eight_nodes_cut_off() -> Result<()> {
