--- a/controlplane/tests/rollout.rs
+++ b/controlplane/tests/rollout.rs
@@ -346,7 +346,7 @@
     let mut duty = Duty::leading(18);
     duty.named.insert("advisor".to_owned(), 3);
     duty.rollout.set_due("advisor", 2, duty.now + 5 * SECOND);
-    duty.rollout.set_due("advisor", 3, duty.now + 9 * SECOND);
+    duty.rollout.set_due("advisor", 3, duty.now + 10 * SECOND);
     for number in 0..15 {
         duty.holds(&format!("s{number:02}"), 2);
     }
