--- /dev/null
+++ b/controlplane/examples/rollout_cost.rs
@@ -0,0 +1,56 @@
+//! What the roll-out costs its primary at rest: a tick over all servers, with every version in place.
+//!
+//!     cargo run --release -p gradepaddle-controlplane --example rollout_cost
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Instant;
+
+use gradepaddle_controlplane::rollout::{Rollout, Servers};
+use gradepaddle_proto::{Registration, Weights};
+
+/// Models, each at an equal part of the servers.
+const MODELS: usize = 14;
+const TICKS: u64 = 200;
+/// Between two ticks, in microseconds.
+const TICK_EVERY: u64 = 100_000;
+
+fn model(number: usize) -> String {
+    format!("model-{}", number % MODELS)
+}
+
+fn server(number: usize) -> (Arc<str>, Registration) {
+    let id: Arc<str> = Arc::from(format!("server-{number:05}"));
+    let address = SocketAddrV4::new(Ipv4Addr::new(10, 0, (number / 250) as u8, (number % 250) as u8), 80);
+    let weights = vec![Weights { model: Arc::from(model(number)), version: 2 }];
+    let registration = Registration {
+        id: id.clone(),
+        service: Arc::from("service"),
+        address,
+        zone: Arc::from("zone"),
+        slots: 12,
+        draining: false,
+        lost: false,
+        warmup_left_ms: 0,
+        weights,
+        owner: address,
+    };
+    (id, registration)
+}
+
+fn main() {
+    for count in [18, 140, 1_000, 6_000] {
+        let servers: Servers = (0..count).map(server).collect();
+        let named: BTreeMap<String, u64> = (0..MODELS).map(|number| (model(number), 2)).collect();
+        let mut rollout = Rollout::new(3_000_000);
+        rollout.lead(0, 1);
+        let began = Instant::now();
+        let mut steps = 0;
+        for tick in 1..=TICKS {
+            steps += rollout.tick(tick * TICK_EVERY, &servers, &named).len();
+        }
+        let each = began.elapsed().as_secs_f64() * 1e6 / TICKS as f64;
+        println!("{count} servers, {MODELS} models: {each:.0} µs a tick, {steps} steps");
+    }
+}
