Take patches of the configuration: items upserted and removed by name, on the terms of PUT

Change: a patch is read and checked at the node that gets it and applied by the primary, under its lease, to the configuration in force; the result is checked like a whole one and replicated as one, so backups, disks and nodes know nothing of patches. A patch that is sent again is known by its bytes and its If-Match. Found on the way: an array of fields was read as a patch; mended, with its test row.

--- a/config/src/configuration/object.rs
+++ b/config/src/configuration/object.rs
@@ -10,7 +10,7 @@
 
 /// A struct that was read from an object.
 #[derive(Debug)]
-pub(super) struct Object<T>(pub T);
+pub(crate) struct Object<T>(pub T);
 
 impl<'de, T: Deserialize<'de>> Deserialize<'de> for Object<T> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
--- a/config/src/configuration/repeated_field.rs
+++ b/config/src/configuration/repeated_field.rs
@@ -10,7 +10,7 @@
 use std::fmt::{self, Formatter, Write};
 
 /// Checks the syntax of a body and that the fields of each of its objects have different names.
-pub(super) fn check(body: &[u8]) -> Result<(), Findings> {
+pub(crate) fn check(body: &[u8]) -> Result<(), Findings> {
     let mut walk = Walk::default();
     let mut deserializer = serde_json::Deserializer::from_slice(body);
     walk.deserialize(&mut deserializer)
--- a/config/src/finding.rs
+++ b/config/src/finding.rs
@@ -53,6 +53,29 @@
         /// Name of that tenant.
         tenant: String,
     },
+    /// A patch has a list of items that have no names, or that a configuration doesn't have.
+    #[snafu(display("is no list of named items"))]
+    UnknownList,
+    /// A patch names an item twice.
+    #[snafu(display("names {name:?}, which {first} names too"))]
+    NamedTwice {
+        /// Name of the item.
+        name: String,
+        /// Where it is named first.
+        first: String,
+    },
+    /// A patch removes an item that the configuration doesn't have.
+    #[snafu(display("names {name:?}, which isn't there"))]
+    NotThere {
+        /// Name of the item.
+        name: String,
+    },
+    /// A patch names an item of a name that several have.
+    #[snafu(display("names {name:?}, which several items are called"))]
+    NameOfSeveral {
+        /// The name.
+        name: String,
+    },
     /// The version of a configuration isn't above the current one.
     #[snafu(display("is {given}, which is not above the current {current}"))]
     VersionNotAbove {
--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -8,6 +8,7 @@
 mod finding;
 mod fingerprint;
 mod number;
+mod patch;
 pub mod settings;
 
 pub use configuration::{
@@ -16,4 +17,5 @@
 pub use difference::{Change, RouteField, ServiceNames, diff};
 pub use finding::{Finding, Findings, Problem, WHOLE};
 pub use fingerprint::{Fingerprint, fingerprint};
+pub use patch::Patch;
 pub use settings::{Listen, MachineLimits, Settings, Survive, TimeBounds};
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -35,6 +35,6 @@
 pub use message::{Body, Message};
 pub use record::{Data, Position, Record, Recovered};
 pub use replica::{Reading, Replica};
-pub use state::{Change, ControlState, Fingerprint, StoredConfiguration};
+pub use state::{Change, ControlState, Fingerprint, Judgement, StoredConfiguration};
 pub use status::{Role, Status};
 pub use view::{Ballot, KnownView, View};
--- a/control/src/replication.rs
+++ b/control/src/replication.rs
@@ -182,18 +182,9 @@
     fn serve_queue(&mut self, out: &mut Vec<Output>) {
         while self.ready_for_change() && !self.queue.is_empty() {
             let Proposal { ticket, change, since } = self.queue.remove(0);
-            match self.committed.judge(&change) {
-                Judgement::Taken => out.push(Output::Answer { ticket, outcome: Outcome::Taken }),
-                Judgement::Conflict { current } => {
-                    out.push(Output::Answer { ticket, outcome: Outcome::Conflict { current } });
-                }
-                Judgement::NotAbove { current } => {
-                    out.push(Output::Answer { ticket, outcome: Outcome::NotAbove { current } });
-                }
-                Judgement::Forgotten | Judgement::Ahead => {
-                    out.push(Output::Answer { ticket, outcome: Outcome::Unknown });
-                }
-                Judgement::Proceed => self.begin_change(ticket, change, since, out),
+            match self.committed.judge(&change).outcome() {
+                Some(outcome) => out.push(Output::Answer { ticket, outcome }),
+                None => self.begin_change(ticket, change, since, out),
             }
         }
         if self.config.flaw == Some(Flaw::JudgesRivalEarly) {
--- a/control/src/state.rs
+++ b/control/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use crate::Outcome;
 use crate::history::{AcceptedConfiguration, AcceptedHistory, Remembered};
 
 /// Identifies the bytes of a configuration.
@@ -54,13 +55,19 @@
 
 /// What is to be done with a change when its turn comes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Judgement {
+pub enum Judgement {
     /// It is in force already, or was.
     Taken,
     /// Another version is current.
-    Conflict { current: u64 },
+    Conflict {
+        /// The version in force.
+        current: u64,
+    },
     /// Its version isn't above the current one.
-    NotAbove { current: u64 },
+    NotAbove {
+        /// The version in force.
+        current: u64,
+    },
     /// It is so old that it may have been taken or not.
     Forgotten,
     /// It builds on a version that isn't in force yet: refused now, another copy of it could still be taken later.
@@ -69,6 +76,19 @@
     Proceed,
 }
 
+impl Judgement {
+    /// What becomes of a change that is not to be replicated; `None` for one that is.
+    pub fn outcome(self) -> Option<Outcome> {
+        match self {
+            Judgement::Taken => Some(Outcome::Taken),
+            Judgement::Conflict { current } => Some(Outcome::Conflict { current }),
+            Judgement::NotAbove { current } => Some(Outcome::NotAbove { current }),
+            Judgement::Forgotten | Judgement::Ahead => Some(Outcome::Unknown),
+            Judgement::Proceed => None,
+        }
+    }
+}
+
 impl ControlState {
     /// The version of the configuration in force, 0 if there is none.
     pub fn current_version(&self) -> u64 {
@@ -79,17 +99,7 @@
     pub(crate) fn judge(&self, change: &Change) -> Judgement {
         match change {
             Change::PutConfiguration { if_match, version, fingerprint, .. } => {
-                let current = self.current_version();
-                // One that isn't above its own base has never been taken, however old it is.
-                let takeable = version > if_match;
-                match self.accepted.recall(*version, *fingerprint) {
-                    Remembered::Taken => Judgement::Taken,
-                    Remembered::Forgotten if takeable => Judgement::Forgotten,
-                    _ if *if_match > current && takeable => Judgement::Ahead,
-                    _ if *if_match != current => Judgement::Conflict { current },
-                    _ if *version <= current => Judgement::NotAbove { current },
-                    _ => Judgement::Proceed,
-                }
+                self.judge_configuration(*if_match, *version, *fingerprint)
             }
             Change::NameVersion { model, version } => match self.models.get(model) {
                 Some(known) if known >= version => Judgement::Taken,
@@ -98,6 +108,21 @@
         }
     }
 
+    /// Judges a configuration that builds on the version `if_match`.
+    pub fn judge_configuration(&self, if_match: u64, version: u64, fingerprint: Fingerprint) -> Judgement {
+        let current = self.current_version();
+        // One that isn't above its own base has never been taken, however old it is.
+        let takeable = version > if_match;
+        match self.accepted.recall(version, fingerprint) {
+            Remembered::Taken => Judgement::Taken,
+            Remembered::Forgotten if takeable => Judgement::Forgotten,
+            _ if if_match > current && takeable => Judgement::Ahead,
+            _ if if_match != current => Judgement::Conflict { current },
+            _ if version <= current => Judgement::NotAbove { current },
+            _ => Judgement::Proceed,
+        }
+    }
+
     /// The state after a change that was judged to proceed.
     pub fn after(&self, change: &Change) -> ControlState {
         let mut next = self.clone();
--- a/controlplane/src/calls.rs
+++ b/controlplane/src/calls.rs
@@ -2,12 +2,14 @@
 
 use std::sync::Arc;
 
-use gradepaddle_config::{Configuration, fingerprint};
+use gradepaddle_config::{Configuration, Patch, fingerprint};
 use serde::{Deserialize, Serialize};
 
 use crate::Micros;
 use crate::registry::Heartbeat;
 
+/// Comes before the bytes of a patch where its fingerprint is taken.
+const PATCH_MARK: &[u8] = b"PATCH ";
 /// The status of an answer that says nothing about the call.
 const UNAVAILABLE: u16 = 503;
 
@@ -35,6 +37,15 @@
         /// Its body as it was sent.
         body: Arc<[u8]>,
     },
+    /// A patch of a configuration, well-formed.
+    PatchConfiguration {
+        /// The version that it builds on.
+        if_match: u64,
+        /// The version that it makes.
+        version: u64,
+        /// The patch as it was sent.
+        patch: Arc<[u8]>,
+    },
     /// The newest configuration is read.
     GetConfiguration,
     /// New weights are named.
@@ -124,6 +135,7 @@
             Ok(Call::Leave { id: id.to_owned() })
         }
         ("PUT", [Some("v1"), Some("config"), None, None]) => put_configuration(if_match, body),
+        ("PATCH", [Some("v1"), Some("config"), None, None]) => patch_configuration(if_match, body),
         ("GET", [Some("v1"), Some("config"), None, None]) => Ok(Call::GetConfiguration),
         ("POST", [Some("v1"), Some("version-put"), None, None]) => {
             let named: NamedVersion = json(body)?;
@@ -141,13 +153,27 @@
     serde_json::from_slice(body).map_err(|error| Answer::message(400, &error.to_string()))
 }
 
+/// The version that a change builds on.
+fn base_version(if_match: Option<&str>) -> Result<u64, Answer> {
+    match if_match.map(|text| text.trim().trim_matches('"').parse::<u64>()) {
+        Some(Ok(version)) => Ok(version),
+        Some(Err(_)) => Err(Answer::message(400, "If-Match is no version")),
+        None => Err(Answer::message(400, "If-Match is missing")),
+    }
+}
+
+fn patch_configuration(if_match: Option<&str>, body: &[u8]) -> Result<Call, Answer> {
+    let if_match = base_version(if_match)?;
+    match Patch::parse(body) {
+        Ok(patch) => {
+            Ok(Call::PatchConfiguration { if_match, version: patch.version, patch: Arc::from(body) })
+        }
+        Err(findings) => Err(Answer::message(400, &findings.to_string())),
+    }
+}
+
 fn put_configuration(if_match: Option<&str>, body: &[u8]) -> Result<Call, Answer> {
-    let if_match = if_match.map(|text| text.trim().trim_matches('"').parse::<u64>());
-    let if_match = match if_match {
-        Some(Ok(version)) => version,
-        Some(Err(_)) => return Err(Answer::message(400, "If-Match is no version")),
-        None => return Err(Answer::message(400, "If-Match is missing")),
-    };
+    let if_match = base_version(if_match)?;
     match Configuration::parse(body) {
         Ok(configuration) => {
             Ok(Call::PutConfiguration { if_match, version: configuration.version, body: Arc::from(body) })
@@ -160,3 +186,10 @@
 pub fn fingerprint_number(body: &[u8]) -> u128 {
     u128::from_le_bytes(fingerprint(body))
 }
+
+/// The fingerprint by which a patch that is sent again is known. The version that it builds on is part of what it asks
+/// for, so a patch of the same bytes on another version is another change.
+pub fn patch_fingerprint_number(if_match: u64, patch: &[u8]) -> u128 {
+    let marked = [PATCH_MARK, &if_match.to_le_bytes(), patch].concat();
+    u128::from_le_bytes(fingerprint(&marked))
+}
--- a/controlplane/src/node/control.rs
+++ b/controlplane/src/node/control.rs
@@ -3,16 +3,20 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
+use gradepaddle_config::{Configuration, Findings, Patch};
 use gradepaddle_control::{Change, ControlState, Input as ReplicaInput, Outcome, Ticket};
 use gradepaddle_proto::{Content, ControlCall, Forward, Forwarded};
 use gradepaddle_spread::Copies;
 
 use super::{Asker, CALL_WITHIN, CALL_WITHIN_PER_BYTE, Confirming, Node, Output, Waiting};
 use crate::Micros;
-use crate::calls::{Answer, Call, fingerprint_number};
+use crate::calls::{Answer, Call, fingerprint_number, patch_fingerprint_number};
 use crate::kinds::{self, CONFIGURATION, CONFIGURATION_KEY, WEIGHTS};
 use crate::registry::Decision;
 
+/// What the first configuration builds on.
+const EMPTY: &[u8] = b"{}";
+
 impl Node {
     pub(super) fn call(&mut self, now: Micros, ticket: u64, call: Call, out: &mut Vec<Output>) {
         match call {
@@ -28,6 +32,10 @@
                 let call = ControlCall::PutConfiguration { if_match, version, body };
                 self.decide(now, Asker::Own(ticket), call, true, out);
             }
+            Call::PatchConfiguration { if_match, version, patch } => {
+                let call = ControlCall::PatchConfiguration { if_match, version, patch };
+                self.decide(now, Asker::Own(ticket), call, true, out);
+            }
             Call::GetConfiguration => {
                 self.decide(now, Asker::Own(ticket), ControlCall::GetConfiguration, true, out);
             }
@@ -139,6 +147,12 @@
                 let fingerprint = fingerprint_number(&body);
                 Change::PutConfiguration { if_match, version, body, fingerprint }
             }
+            ControlCall::PatchConfiguration { if_match, version, patch } => {
+                match self.patched(now, if_match, version, &patch) {
+                    Ok(change) => change,
+                    Err(refusal) => return answer(now, asker, refusal, out),
+                }
+            }
             ControlCall::NameVersion { model, version } => {
                 Change::NameVersion { model: model.to_string(), version }
             }
@@ -147,6 +161,27 @@
         self.tell_replica(now, ReplicaInput::Propose { ticket, change }, out);
     }
 
+    /// The change that a patch makes of the configuration that it builds on, which is in force; otherwise its answer.
+    ///
+    /// What builds on a version is the same change at all times: versions only rise, so no other configuration of that
+    /// version is ever in force. If another one has come into force when the change is about to be replicated, it is
+    /// refused like any that builds on an older version.
+    fn patched(&self, now: Micros, if_match: u64, version: u64, patch: &[u8]) -> Result<Change, Answer> {
+        let Some(reading) = self.replica.as_ref().and_then(|replica| replica.read(now)) else {
+            return Err(Answer::unavailable("this node does not lead"));
+        };
+        let until = reading.lease.until;
+        let fingerprint = patch_fingerprint_number(if_match, patch);
+        if let Some(outcome) = reading.state.judge_configuration(if_match, version, fingerprint).outcome() {
+            return Err(outcome_answer(outcome).before(until));
+        }
+        let base = reading.state.configuration.as_ref().map_or(EMPTY, |known| &known.body);
+        match apply_patch(patch, base) {
+            Ok(body) => Ok(Change::PutConfiguration { if_match, version, body, fingerprint }),
+            Err(findings) => Err(Answer::message(400, &findings.to_string()).before(until)),
+        }
+    }
+
     /// The newest configuration, as long as the lease lasts.
     fn configuration(&self, now: Micros) -> Answer {
         let Some(reading) = self.replica.as_ref().and_then(|replica| replica.read(now)) else {
@@ -162,6 +197,7 @@
     fn waiting_for(now: Micros, asker: Asker, decider: SocketAddrV4, call: &ControlCall) -> Waiting {
         let bytes = match call {
             ControlCall::PutConfiguration { body, .. } => body.len() as Micros,
+            ControlCall::PatchConfiguration { patch, .. } => patch.len() as Micros,
             _ => 0,
         };
         Waiting { asker, decider, since: now, until: now + CALL_WITHIN + bytes * CALL_WITHIN_PER_BYTE }
@@ -176,15 +212,7 @@
     /// The replica has decided. What is clear is said within the lease only.
     pub(super) fn decided(&mut self, now: Micros, ticket: u64, outcome: Outcome, out: &mut Vec<Output>) {
         let Some(waiting) = self.waiting.remove(&ticket) else { return };
-        let given = match outcome {
-            Outcome::Taken => Answer::bare(200),
-            Outcome::Conflict { current } => Answer::message(412, &format!("version {current} is in place")),
-            Outcome::NotAbove { current } => {
-                Answer::message(400, &format!("the version is not above {current}, which is in place"))
-            }
-            Outcome::NotPrimary { .. } => Answer::unavailable("this node does not lead"),
-            Outcome::Unknown => Answer::unavailable("the change may be in force or not"),
-        };
+        let given = outcome_answer(outcome);
         let lease = self.replica.as_ref().and_then(|replica| replica.held_lease(now));
         let given = given.before(lease.map_or(now, |lease| lease.until).min(waiting.until));
         answer(now, waiting.asker, given, out);
@@ -249,6 +277,26 @@
     }
 }
 
+/// What a caller is told of a decision.
+fn outcome_answer(outcome: Outcome) -> Answer {
+    match outcome {
+        Outcome::Taken => Answer::bare(200),
+        Outcome::Conflict { current } => Answer::message(412, &format!("version {current} is in place")),
+        Outcome::NotAbove { current } => {
+            Answer::message(400, &format!("the version is not above {current}, which is in place"))
+        }
+        Outcome::NotPrimary { .. } => Answer::unavailable("this node does not lead"),
+        Outcome::Unknown => Answer::unavailable("the change may be in force or not"),
+    }
+}
+
+/// The body of the configuration that a patch makes, if that is valid.
+fn apply_patch(patch: &[u8], base: &[u8]) -> Result<Arc<[u8]>, Findings> {
+    let body = Patch::parse(patch)?.apply(base)?;
+    Configuration::parse(&body)?;
+    Ok(Arc::from(body))
+}
+
 fn answer(now: Micros, asker: Asker, answer: Answer, out: &mut Vec<Output>) {
     let answer = answer.at(now);
     match asker {
--- a/controlplane/tests/calls.rs
+++ b/controlplane/tests/calls.rs
@@ -1,7 +1,7 @@
 //! Which calls make sense, and how the others are turned down.
 
 use googletest::prelude::*;
-use gradepaddle_controlplane::calls::{Answer, Call, fingerprint_number, read};
+use gradepaddle_controlplane::calls::{Answer, Call, fingerprint_number, patch_fingerprint_number, read};
 use serde_json::{Value, json};
 
 /// One call and what is to come of it.
@@ -19,6 +19,7 @@
     Heartbeat(&'static str, u64),
     Leave(&'static str),
     Put(u64, u64),
+    Patch(u64, u64),
     Get,
     Name(&'static str, u64),
     Status,
@@ -33,6 +34,10 @@
     Case { if_match, ..case(what, ("PUT", "/v1/config"), body, want) }
 }
 
+fn patch(what: &'static str, if_match: Option<&'static str>, body: impl ToString, want: Want) -> Case {
+    Case { if_match, ..case(what, ("PATCH", "/v1/config"), body, want) }
+}
+
 fn agrees(got: &std::result::Result<Call, Answer>, want: &Want) -> bool {
     match (got, want) {
         (Ok(Call::Heartbeat { id, heartbeat }), Want::Heartbeat(name, count)) => {
@@ -42,6 +47,9 @@
         (Ok(Call::PutConfiguration { if_match, version, .. }), Want::Put(base, own)) => {
             if_match == base && version == own
         }
+        (Ok(Call::PatchConfiguration { if_match, version, .. }), Want::Patch(base, own)) => {
+            if_match == base && version == own
+        }
         (Ok(Call::GetConfiguration), Want::Get) | (Ok(Call::Status), Want::Status) => true,
         (Ok(Call::NameVersion { model, version }), Want::Name(name, own)) => model == name && version == own,
         (Err(answer), Want::Refused(statuses)) => statuses.contains(&answer.status),
@@ -201,6 +209,39 @@
     ])
 }
 
+#[gtest]
+fn patches() -> Result<()> {
+    let route = json!({"name": "r-1", "host": "a.example"});
+    let upsert = json!({"version": 9, "upsert": {"routes": [route]}});
+    check(vec![
+        patch("an item to add", Some("7"), &upsert, Want::Patch(7, 9)),
+        patch("in quotes", Some("\"7\""), &upsert, Want::Patch(7, 9)),
+        patch(
+            "a name to remove",
+            Some("7"),
+            json!({"version": 9, "remove": {"routes": ["r"]}}),
+            Want::Patch(7, 9),
+        ),
+        patch("a version alone", Some("7"), json!({"version": 9}), Want::Patch(7, 9)),
+        patch("no If-Match", None, &upsert, BAD),
+        patch("a word as If-Match", Some("latest"), &upsert, BAD),
+        patch("nothing", Some("7"), "", BAD),
+        patch("no object", Some("7"), "[9]", BAD),
+        patch("no version", Some("7"), json!({"upsert": {"routes": [route]}}), BAD),
+        patch("an item without a name", Some("7"), json!({"version": 9, "upsert": {"routes": [{}]}}), BAD),
+        patch("an unknown list", Some("7"), json!({"version": 9, "upsert": {"ways": [route]}}), BAD),
+        patch("half of it", Some("7"), &upsert.to_string()[..40], BAD),
+    ])
+}
+
+#[gtest]
+fn a_patch_is_the_same_change_only_on_the_same_version() {
+    let sent = br#"{"version":9}"#;
+    expect_that!(patch_fingerprint_number(7, sent), eq(patch_fingerprint_number(7, sent)));
+    expect_that!(patch_fingerprint_number(7, sent), not(eq(patch_fingerprint_number(8, sent))));
+    expect_that!(patch_fingerprint_number(7, sent), not(eq(fingerprint_number(sent))));
+}
+
 #[gtest]
 fn the_body_is_kept_as_it_was_sent() -> Result<()> {
     let sent = serde_json::to_vec_pretty(&configuration())?;
--- a/controlplane/tests/fleet/checks.rs
+++ b/controlplane/tests/fleet/checks.rs
@@ -10,7 +10,7 @@
 
 use super::calls::{Caller, Outcome};
 use super::machine::Machine;
-use super::operator::{Task, version_of};
+use super::operator::{Task, identity, version_of};
 use super::server::{Server, Stage};
 use super::world::{Event, World};
 use super::{IN_TOUCH, MS, Micros, SECOND};
@@ -75,7 +75,7 @@
 
     /// A node puts this in force.
     pub fn in_force(&mut self, body: &Arc<[u8]>) {
-        self.seen.insert(body.clone());
+        self.seen.insert(identity(body));
     }
 
     pub fn links_calm(&self, from: Micros, until: Micros) -> bool {
@@ -176,7 +176,9 @@
         let operator = &self.operators[index];
         if operator.task.is_some() && operator.begun == begun {
             let task = match &operator.task {
-                Some(Task::Put { if_match, version, .. }) => format!("configuration {version} on {if_match}"),
+                Some(Task::Put { if_match, version, .. } | Task::Patch { if_match, version, .. }) => {
+                    format!("configuration {version} on {if_match}")
+                }
                 other => format!("{other:?}"),
             };
             self.broken(format!("{task} of {} ms has no clear answer", begun / MS));
@@ -277,7 +279,7 @@
                     "{version} is read back through node {number}, which has {has}; {newest} was acknowledged"
                 ));
             }
-            if !self.record.sent.contains(&body) {
+            if !self.record.sent.contains(&identity(&body)) {
                 self.broken(format!("what is read back through node {number} was never sent"));
             }
             bodies.insert(body);
@@ -289,11 +291,11 @@
 
     /// Nothing that was refused ever came into force.
     fn check_in_force(&mut self) {
-        if let Some(body) = self.record.seen.intersection(&self.record.refused).next() {
-            let version = version_of(body);
-            self.broken(format!("configuration {version} was refused and came into force"));
+        if let Some(identity) = self.record.seen.intersection(&self.record.refused).next() {
+            let made = String::from_utf8_lossy(identity).into_owned();
+            self.broken(format!("configuration {made} was refused and came into force"));
         }
-        if self.record.seen.iter().any(|body| !self.record.sent.contains(body)) {
+        if self.record.seen.iter().any(|made| !self.record.sent.contains(made)) {
             self.broken("a configuration came into force that was never sent".to_owned());
         }
     }
--- a/controlplane/tests/fleet/histories.rs
+++ b/controlplane/tests/fleet/histories.rs
@@ -5,6 +5,7 @@
 use gradepaddle_controlplane::calls::{Call, fingerprint_number};
 
 use super::calls::{Caller, Outcome};
+use super::operator::identity;
 use super::random::Random;
 use super::world::{Event, World};
 use super::{MS, SECOND};
@@ -42,7 +43,11 @@
     pub fn asked(&mut self, caller: Caller, call: &Call) {
         let operation = match call {
             Call::PutConfiguration { if_match, version, body } => {
-                let fingerprint = fingerprint_number(body);
+                let fingerprint = fingerprint_number(&identity(body));
+                Operation::Put { if_match: *if_match, version: *version, fingerprint }
+            }
+            Call::PatchConfiguration { if_match, version, patch } => {
+                let fingerprint = fingerprint_number(&identity(patch));
                 Operation::Put { if_match: *if_match, version: *version, fingerprint }
             }
             Call::GetConfiguration => Operation::Read,
@@ -61,7 +66,7 @@
         let reads = self.history.reads(name);
         match answer.status {
             200 if reads => {
-                let found = Response::InForce(Some(fingerprint_number(&answer.body)));
+                let found = Response::InForce(Some(fingerprint_number(&identity(&answer.body))));
                 self.history.answer(name, found);
             }
             404 if reads => self.history.answer(name, Response::InForce(None)),
--- a/controlplane/tests/fleet/mod.rs
+++ b/controlplane/tests/fleet/mod.rs
@@ -10,7 +10,7 @@
 mod histories;
 mod machine;
 mod network;
-mod operator;
+pub mod operator;
 mod outage;
 mod outside;
 mod plan;
--- a/controlplane/tests/fleet/operator.rs
+++ b/controlplane/tests/fleet/operator.rs
@@ -15,6 +15,11 @@
         version: u64,
         body: Arc<[u8]>,
     },
+    Patch {
+        if_match: u64,
+        version: u64,
+        patch: Arc<[u8]>,
+    },
     Name {
         version: u64,
     },
@@ -45,19 +50,45 @@
     Again(Micros),
 }
 
-/// The body of a configuration, from which its version can be read again.
+/// The beginning of each configuration and patch.
+const VERSION_FIELD: &str = "{\"version\":";
+/// What stands before the name of who made a configuration, in the one item that every patch replaces.
+const AUTHOR_FIELD: &str = "\"healthPath\":\"/";
+
+/// The item of a configuration that tells who made it.
+fn author(by: &str) -> String {
+    format!("{{\"name\":\"author\",{AUTHOR_FIELD}{by}\"}}")
+}
+
+/// The body of a configuration of about this length.
 pub fn body(version: u64, by: &str, length: usize) -> Arc<[u8]> {
-    let mut text = format!("{version} {by} ");
+    let author = author(by);
+    let mut text = format!("{VERSION_FIELD}{version},\"routes\":[],\"backends\":[{author}],\"padding\":\"");
     while text.len() < length {
         text.push('x');
     }
+    text.push_str("\"}");
     Arc::from(text.into_bytes())
 }
 
-/// The version of a body.
+/// A patch that makes a configuration of this version.
+pub fn patch(version: u64, by: &str) -> Arc<[u8]> {
+    let author = author(by);
+    Arc::from(format!("{VERSION_FIELD}{version},\"upsert\":{{\"backends\":[{author}]}}}}").into_bytes())
+}
+
+/// The version of a configuration or patch.
 pub fn version_of(body: &[u8]) -> u64 {
     let text = String::from_utf8_lossy(body);
-    text.split(' ').next().and_then(|word| word.parse().ok()).unwrap_or(u64::MAX)
+    let digits = text.strip_prefix(VERSION_FIELD).and_then(|rest| rest.split(',').next());
+    digits.and_then(|digits| digits.parse().ok()).unwrap_or(u64::MAX)
+}
+
+/// What tells a configuration from all others: its version and who made it. A patch and what it makes have the same.
+pub fn identity(body: &[u8]) -> Arc<[u8]> {
+    let text = String::from_utf8_lossy(body);
+    let author = text.split(AUTHOR_FIELD).nth(1).and_then(|rest| rest.split('"').next()).unwrap_or_default();
+    Arc::from(format!("{} {author}", version_of(body)).into_bytes())
 }
 
 impl Operator {
@@ -70,6 +101,7 @@
         self.attempt += 1;
         Some(match self.task.clone()? {
             Task::Put { if_match, version, body } => Call::PutConfiguration { if_match, version, body },
+            Task::Patch { if_match, version, patch } => Call::PatchConfiguration { if_match, version, patch },
             Task::Name { version } => Call::NameVersion { model: MODEL.to_owned(), version },
             Task::Read => Call::GetConfiguration,
         })
@@ -86,7 +118,7 @@
         self.task = None;
         match (&task, outcome) {
             (Task::Read, Some(answer)) if status == 200 => Clear::Read(answer.body.clone()),
-            (Task::Put { version, .. }, _) if status == 200 => {
+            (Task::Put { version, .. } | Task::Patch { version, .. }, _) if status == 200 => {
                 self.current = *version;
                 Clear::Acknowledged(task)
             }
--- a/controlplane/tests/fleet/outside.rs
+++ b/controlplane/tests/fleet/outside.rs
@@ -8,7 +8,7 @@
 
 use super::calls::{Caller, Outcome, success};
 use super::checks::Check;
-use super::operator::{Clear, Task, body};
+use super::operator::{Clear, Task, body, identity, patch};
 use super::server::{CALL_WITHIN, Server, Stage};
 use super::world::{Event, World};
 use super::{MS, Micros, SECOND};
@@ -169,8 +169,8 @@
     }
 
     fn begin_task(&mut self, index: usize, task: Task) {
-        if let Task::Put { body, .. } = &task {
-            self.record.sent.insert(body.clone());
+        if let Task::Put { body: sent, .. } | Task::Patch { patch: sent, .. } = &task {
+            self.record.sent.insert(identity(sent));
         }
         self.operators[index].begin(self.now, task);
         let check = Check::Answered { operator: index, begun: self.now };
@@ -184,7 +184,12 @@
         let if_match = self.operators[0].current;
         let version = if_match + self.random.between(1, 4);
         let length = if self.random.percent(50) { 5_000 } else { 40 };
-        let by = format!("{by}{}", self.random.next());
+        let number = self.random.next();
+        let by = format!("{by}{number}");
+        // Patches build on something.
+        if if_match > 0 && number.is_multiple_of(2) {
+            return Task::Patch { if_match, version, patch: patch(version, &by) };
+        }
         Task::Put { if_match, version, body: body(version, &by, length) }
     }
 
@@ -223,9 +228,9 @@
     fn acknowledged(&mut self, task: Task) {
         self.report.acknowledged += 1;
         match task {
-            Task::Put { if_match, version, body } => {
+            Task::Put { if_match, version, body: sent } | Task::Patch { if_match, version, patch: sent } => {
                 self.operators[0].current = self.operators[0].current.max(version);
-                if let Some(other) = self.record.acknowledge(if_match, version, body) {
+                if let Some(other) = self.record.acknowledge(if_match, version, identity(&sent)) {
                     self.broken(format!("{other} and {version} are acknowledged, both on top of {if_match}"));
                 }
                 let check = Check::Applied { version, at: self.now };
@@ -242,10 +247,12 @@
 
     fn refused(&mut self, index: usize, task: Task) {
         self.report.refused += 1;
-        let Task::Put { if_match, version, body } = task else {
+        let (Task::Put { if_match, version, body: sent } | Task::Patch { if_match, version, patch: sent }) =
+            task
+        else {
             return self.broken(format!("the operator's {task:?} is refused"));
         };
-        self.record.refused.insert(body);
+        self.record.refused.insert(identity(&sent));
         let race_lost = self.record.acknowledged_on(if_match).is_some();
         let race_open = self.operators[1 - index].task.is_some();
         if !race_lost && !race_open {
--- a/controlplane/tests/leases.rs
+++ b/controlplane/tests/leases.rs
@@ -19,6 +19,7 @@
 use gradepaddle_controlplane::{CLOCK_START, Micros};
 use gradepaddle_http::buffers::Pool;
 use gradepaddle_proto::{Content, Envelope, Forwarded};
+use simulation::operator::body;
 use simulation::{MS, Plan, SECOND, World};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -85,7 +86,7 @@
 }
 
 fn put(if_match: u64, version: u64) -> Call {
-    Call::PutConfiguration { if_match, version, body: Arc::from(format!("{version} test").into_bytes()) }
+    Call::PutConfiguration { if_match, version, body: body(version, "test", 0) }
 }
 
 fn some_order(address: SocketAddrV4) -> Order {
@@ -367,3 +368,98 @@
         Ok(())
     })
 }
+
+/// A patch is judged on the configuration that is in force, and what is said of it within the lease only.
+#[gtest]
+fn what_the_primary_says_of_a_patch() {
+    let patch = |if_match, version, text: &str| Call::PatchConfiguration {
+        if_match,
+        version,
+        patch: Arc::from(text.as_bytes()),
+    };
+    let mut fleet = Fleet::new();
+    let current = fleet.world.operators[0].current;
+    let (next, older) = (current + 5, current.saturating_sub(1));
+    let removes_unknown = format!(r#"{{"version":{next},"remove":{{"routes":["none"]}}}}"#);
+    let leads_nowhere = format!(
+        r#"{{"version":{next},"upsert":{{"routes":[{{"name":"r","host":"a","pathPrefix":"/","kind":"safe","timeoutMs":1,"backend":"none"}}]}}}}"#
+    );
+    let rows = [
+        ("on a version that was overtaken", patch(older, next, &format!(r#"{{"version":{next}}}"#)), 412),
+        ("on a version to come", patch(next, next + 1, &format!(r#"{{"version":{}}}"#, next + 1)), 503),
+        ("not above its base", patch(current, current, &format!(r#"{{"version":{current}}}"#)), 400),
+        ("an unknown name to remove", patch(current, next, &removes_unknown), 400),
+        ("a configuration that isn't valid", patch(current, next, &leads_nowhere), 400),
+    ];
+    for (what, call, status) in rows {
+        let primary = fleet.primary;
+        let now = fleet.clock(primary);
+        let answer = answer(&fleet.call(primary, call)).expect("an answer");
+        expect_that!(answer.status, eq(status), "{what}");
+        expect_that!(answer.at(now + LEASE).status, eq(503), "{what}");
+    }
+}
+
+/// The answer was lost, and other changes have come since: the patch that is sent again was taken.
+#[gtest]
+fn a_patch_that_is_sent_again_later_is_acknowledged_again() -> Result<()> {
+    let mut fleet = Fleet::new();
+    let current = fleet.world.operators[0].current;
+    let text = format!(r#"{{"version":{},"upsert":{{"customers":[{{"name":"new"}}]}}}}"#, current + 1);
+    let first = Call::PatchConfiguration {
+        if_match: current,
+        version: current + 1,
+        patch: Arc::from(text.as_bytes()),
+    };
+    let rival = put(current, current + 1);
+    let later = Call::PatchConfiguration {
+        if_match: current + 1,
+        version: current + 2,
+        patch: Arc::from(format!(r#"{{"version":{}}}"#, current + 2).as_bytes()),
+    };
+    let rows = [
+        ("first", &first, 200),
+        ("again", &first, 200),
+        ("its rival", &rival, 412),
+        ("a later one", &later, 200),
+        ("the first once more", &first, 200),
+    ];
+    for (what, call, status) in rows {
+        let answer = settled_call(&mut fleet, call.clone()).or_fail()?;
+        expect_that!(answer.status, eq(status), "{what}");
+    }
+    let read = settled_call(&mut fleet, Call::GetConfiguration).or_fail()?;
+    let read = String::from_utf8_lossy(&read.body).into_owned();
+    expect_that!(read, contains_substring(format!("\"version\":{}", current + 2)));
+    verify_that!(read, contains_substring(r#""customers":[{"name":"new"}]"#))
+}
+
+/// The answer to a call at the primary, with all that has to be written and replicated for it.
+fn settled_call(fleet: &mut Fleet, call: Call) -> Option<Answer> {
+    let primary = fleet.primary;
+    let mut outputs = fleet.call(primary, call);
+    for _ in 0..4 {
+        if let Some(answer) = answer(&outputs) {
+            return Some(answer);
+        }
+        let mut next = Vec::new();
+        for output in outputs {
+            match output {
+                Output::Persist { token, .. } => {
+                    next.extend(fleet.hand(primary, MS, Input::Persisted(token)))
+                }
+                Output::Send { to, content: content @ Content::Control(_) } => {
+                    let backup = (0..3).find(|node| fleet.address(*node) == to)?;
+                    let input = fleet.envelope(primary, content);
+                    for reply in replies(fleet, backup, input) {
+                        let reply = fleet.envelope(backup, reply);
+                        next.extend(fleet.hand(primary, MS, reply));
+                    }
+                }
+                _ => {}
+            }
+        }
+        outputs = next;
+    }
+    answer(&outputs)
+}
--- a/proto/src/node.rs
+++ b/proto/src/node.rs
@@ -67,6 +67,15 @@
         /// Its body as it was sent.
         body: Arc<[u8]>,
     },
+    /// Takes a patch of a configuration, which has been read.
+    PatchConfiguration {
+        /// The version that it builds on.
+        if_match: u64,
+        /// The version that it makes.
+        version: u64,
+        /// The patch as it was sent.
+        patch: Arc<[u8]>,
+    },
     /// Reads the newest configuration.
     GetConfiguration,
     /// Names new weights.
@@ -182,6 +191,7 @@
 const PUT_CONFIGURATION: u64 = 1;
 const GET_CONFIGURATION: u64 = 2;
 const NAME_VERSION: u64 = 3;
+const PATCH_CONFIGURATION: u64 = 4;
 
 impl Encode for ControlCall {
     fn encode(&self, to: &mut FieldWriter) {
@@ -192,6 +202,12 @@
                 to.number(3, *version);
                 to.bytes(4, body);
             }
+            ControlCall::PatchConfiguration { if_match, version, patch } => {
+                to.number(1, PATCH_CONFIGURATION);
+                to.number(2, *if_match);
+                to.number(3, *version);
+                to.bytes(4, patch);
+            }
             ControlCall::GetConfiguration => to.number(1, GET_CONFIGURATION),
             ControlCall::NameVersion { model, version } => {
                 to.number(1, NAME_VERSION);
@@ -210,6 +226,11 @@
                 version: fields.number(3),
                 body: Arc::from(fields.bytes(4)),
             },
+            PATCH_CONFIGURATION => ControlCall::PatchConfiguration {
+                if_match: fields.number(2),
+                version: fields.number(3),
+                patch: Arc::from(fields.bytes(4)),
+            },
             GET_CONFIGURATION => ControlCall::GetConfiguration,
             NAME_VERSION => ControlCall::NameVersion { model: fields.text(5), version: fields.number(3) },
             variant => return UnknownVariantSnafu { message: "control call", variant }.fail(),
--- a/proto/tests/common/mod.rs
+++ b/proto/tests/common/mod.rs
@@ -285,6 +285,9 @@
 
 pub fn control_call() -> BoxedStrategy<ControlCall> {
     prop_oneof![
+        (number(), number(), bytes()).prop_map(|(if_match, version, patch)| {
+            ControlCall::PatchConfiguration { if_match, version, patch }
+        }),
         (number(), number(), bytes()).prop_map(|(if_match, version, body)| ControlCall::PutConfiguration {
             if_match,
             version,
