Let keys lapse at nodes that can't show that none was taken away

Cause: with revokeEverywhere a node that is cut off served on with its old keys for as long as the cut lasted. Change: each node asks every 0.5 s which configuration is the newest: members of the core the primary, others their control balancer, and any node once what they know is old. An answer holds for the moment of its question, less the age that it tells. Keys are acted on for revokeMs less 250 ms after such a moment at which nothing newer than the own configuration could be acknowledged; after that what bears a key gets 503 and the node isn't ready; what needs none is served.

--- a/controlplane/src/driver.rs
+++ b/controlplane/src/driver.rs
@@ -55,6 +55,8 @@
     fn holds(&self, server: &str, model: &str, version: u64);
     /// The node has, or lacks, a session with control.
     fn in_touch(&self, in_touch: bool);
+    /// Until when, by the driver's clock, the keys of the configuration in force may be acted on.
+    fn keys_until(&self, until: Micros);
     /// Something is worth a line in the log.
     fn event(&self, event: Event);
     /// Writes records to disk; the end of the write comes back as an event.
@@ -191,6 +193,7 @@
             Output::Order(order) => self.order(order),
             Output::Ask { server, address } => self.ask(server, address),
             Output::InTouch(in_touch) => self.effects.in_touch(in_touch),
+            Output::KeysUntil(until) => self.effects.keys_until(until),
             Output::Event(event) => self.event(event),
             Output::MayEnd => self.effects.may_end(),
         }
--- a/controlplane/src/lib.rs
+++ b/controlplane/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod door;
 pub mod driver;
 pub mod founding;
+pub mod freshness;
 pub mod kinds;
 pub mod links;
 pub mod node;
--- a/controlplane/src/node.rs
+++ b/controlplane/src/node.rs
@@ -1,6 +1,7 @@
 //! The control plane of one node as one state machine: inputs with a time in, what to send, write and answer out.
 
 mod control;
+mod freshness;
 mod members;
 mod messages;
 mod serving;
@@ -20,6 +21,7 @@
 use crate::Micros;
 use crate::absence::Absence;
 use crate::founding::Founding;
+use crate::freshness::Freshness;
 use crate::registry::Registry;
 use crate::rollout::Rollout;
 use crate::session::OwnSession;
@@ -49,6 +51,8 @@
     pub order_lease: Micros,
     /// Within which named weights have to be in use.
     pub version_within: Micros,
+    /// Within which keys that are taken away have to stop working at every node, if they have to.
+    pub revoke_within: Option<Micros>,
     /// How many machines may be lost at once.
     pub machine_losses: usize,
     /// The time.
@@ -104,6 +108,11 @@
     machine_losses: usize,
     /// The process is about to end.
     leaving: bool,
+    freshness: Freshness,
+    /// What the data plane was told of its keys.
+    keys_until: Option<Micros>,
+    /// The next node that is asked for evidence besides the usual one.
+    next_witness: usize,
     named: BTreeMap<String, u64>,
     /// The servers that are there, as registered.
     servers: BTreeMap<Arc<str>, Registration>,
@@ -141,6 +150,9 @@
             version_within: setup.version_within,
             machine_losses: setup.machine_losses,
             leaving: false,
+            freshness: Freshness::new(setup.revoke_within, setup.now),
+            keys_until: None,
+            next_witness: 0,
             named: BTreeMap::new(),
             servers: BTreeMap::new(),
             lost: HashMap::new(),
@@ -211,6 +223,8 @@
             Content::Found(view) => self.tell_replica(now, ReplicaInput::Found { view }, out),
             Content::Forward(forward) => self.forwarded_call(now, from, forward, out),
             Content::Forwarded(answer) => self.forwarded_answer(now, from, &answer, out),
+            Content::NewestAsk(ask) => self.newest_asked(now, from, ask, out),
+            Content::NewestTold(told) => self.newest_told(told),
         }
     }
 
@@ -226,6 +240,7 @@
         }
         self.tick_session(now, out);
         self.tick_founding(now, out);
+        self.tick_freshness(now, out);
         if now >= self.due {
             self.due = now + TICK_EVERY;
             self.tick_members(now, out);
@@ -245,7 +260,8 @@
         let founding = self.founding.as_ref().map_or(Micros::MAX, Founding::next_wake);
         let replica = self.replica.as_ref().map_or(Micros::MAX, Replica::next_wake);
         let session = self.session.next_wake();
-        [founding, replica, session, self.spread.next_wake(), self.due].into_iter().min().unwrap_or(self.due)
+        let due = [founding, replica, session, self.spread.next_wake(), self.freshness.next_wake(), self.due];
+        due.into_iter().min().unwrap_or(self.due)
     }
 
     /// Hands something to the replica and carries out what comes of it.
--- a/controlplane/src/node/messages.rs
+++ b/controlplane/src/node/messages.rs
@@ -154,6 +154,9 @@
     },
     /// The node has, or lacks, a session with control.
     InTouch(bool),
+    /// Until when, by the node's clock, the keys of the configuration in force may be acted on. Never given where that
+    /// depends on nothing.
+    KeysUntil(Micros),
     /// What is worth a line in the log.
     Event(Event),
     /// The control state is in other hands: the process may end.
--- a/controlplane/src/session.rs
+++ b/controlplane/src/session.rs
@@ -67,6 +67,11 @@
         &self.view
     }
 
+    /// The control balancer that the session is held with, or asked of.
+    pub fn control(&self) -> Option<SocketAddrV4> {
+        self.control
+    }
+
     /// When a control balancer last granted the session.
     pub fn granted(&self) -> Option<Micros> {
         self.granted
--- a/controlplane/tests/callers.rs
+++ b/controlplane/tests/callers.rs
@@ -35,6 +35,7 @@
             beat_every: 1_200 * MS,
             order_lease: 3 * SECOND,
             version_within: 8 * SECOND,
+            revoke_within: None,
             machine_losses: 1,
             now: 0,
         });
--- a/controlplane/tests/fleet/checks.rs
+++ b/controlplane/tests/fleet/checks.rs
@@ -33,6 +33,8 @@
     Drained { server: usize, by: usize, at: Micros },
     /// Weights named then are in use.
     Loaded { version: u64, at: Micros },
+    /// No node acts on keys of an older version, in touch or not.
+    Revoked { version: u64 },
     /// After the last trouble all is as it should be.
     Settled,
 }
@@ -92,6 +94,7 @@
             Check::Answered { operator, begun } => self.check_answered(operator, begun),
             Check::Drained { server, by, at } => self.check_drained(server, by, at),
             Check::Loaded { version, at } => self.check_loaded(version, at),
+            Check::Revoked { version } => self.check_revoked(version),
             Check::Settled => self.check_settled(),
         };
         if applies {
@@ -169,6 +172,20 @@
         true
     }
 
+    fn check_revoked(&mut self, version: u64) -> bool {
+        for number in self.up() {
+            let has = self.configuration_of(number);
+            let Some(process) = &self.machines[number].process else { continue };
+            let acts = process.told.keys_until > process.clock(self.now);
+            if acts && has < version {
+                self.broken(format!(
+                    "node {number} acts on keys of {has}, though {version} was acknowledged"
+                ));
+            }
+        }
+        true
+    }
+
     fn check_answered(&mut self, index: usize, begun: Micros) -> bool {
         if !self.core_calm(begun, self.now) {
             return false;
--- a/controlplane/tests/fleet/machine.rs
+++ b/controlplane/tests/fleet/machine.rs
@@ -37,6 +37,8 @@
     pub servers: BTreeMap<Arc<str>, ServerState>,
     pub leading: Option<u64>,
     pub in_touch: bool,
+    /// Until when it may act on keys, by its clock.
+    pub keys_until: Micros,
 }
 
 /// A running process.
@@ -90,6 +92,7 @@
     pub seeds: Vec<SocketAddrV4>,
     pub first: bool,
     pub losses: usize,
+    pub revoke_within: Option<Micros>,
 }
 
 /// What a replica is told at its start.
@@ -153,6 +156,7 @@
             beat_every: BEAT_EVERY,
             order_lease: LEASE,
             version_within: VERSION_WITHIN,
+            revoke_within: boot.revoke_within,
             machine_losses: boot.losses,
             now: CLOCK_START,
         });
--- a/controlplane/tests/fleet/outside.rs
+++ b/controlplane/tests/fleet/outside.rs
@@ -235,6 +235,9 @@
                 }
                 let check = Check::Applied { version, at: self.now };
                 self.schedule_in(2 * SECOND, Event::Check(check));
+                if let Some(within) = self.plan.revoke_within {
+                    self.schedule_in(within, Event::Check(Check::Revoked { version }));
+                }
             }
             Task::Name { version } => {
                 self.record.named.push(version);
--- a/controlplane/tests/fleet/plan.rs
+++ b/controlplane/tests/fleet/plan.rs
@@ -39,6 +39,8 @@
     pub strict: bool,
     /// Machines without contact for a while, from 8 s on.
     pub outage: Option<Outage>,
+    /// Keys that are taken away have to stop working at every node within this.
+    pub revoke_within: Option<Micros>,
     /// A fault of the protocol that is built in on purpose.
     pub flaw: Option<Flaw>,
 }
@@ -58,6 +60,7 @@
             servers_agree: true,
             strict: true,
             outage: None,
+            revoke_within: None,
             flaw: None,
         }
     }
--- a/controlplane/tests/fleet/world.rs
+++ b/controlplane/tests/fleet/world.rs
@@ -326,7 +326,7 @@
         let first = self.now < FIRST_START;
         let seeds = if first { self.first_seeds.clone() } else { self.some_addresses() };
         self.trace(|| format!("node {number} starts, seeds {seeds:?}"));
-        let boot = Boot { seeds, first, losses: self.plan.losses };
+        let boot = Boot { seeds, first, losses: self.plan.losses, revoke_within: self.plan.revoke_within };
         let now = self.now;
         let machine = &mut self.machines[number];
         machine.start(now, &boot, &mut self.random);
@@ -453,6 +453,7 @@
             Output::Peers(peers) => {
                 self.told(number, |told| told.peers = peers.into_iter().map(|peer| peer.address).collect())
             }
+            Output::KeysUntil(until) => self.told(number, |told| told.keys_until = until),
             Output::InTouch(in_touch) => self.told(number, |told| told.in_touch = in_touch),
             Output::Order(order) => self.give_order(number, order),
             Output::Ask { server, .. } => {
--- /dev/null
+++ b/controlplane/tests/freshness.rs
@@ -0,0 +1,116 @@
+//! Evidence of the newest configuration: what it is worth, for how long, and that keys stop working everywhere in time.
+
+#[path = "fleet/mod.rs"]
+mod simulation;
+
+use googletest::prelude::*;
+use gradepaddle_controlplane::Micros;
+use gradepaddle_controlplane::freshness::{Freshness, Newest};
+use simulation::{MS, Outage, Plan, Report, SECOND, Trouble, Victim, World};
+
+const BOUND: Micros = 4_750 * MS;
+
+fn told(version: u64, age: Micros) -> Newest {
+    Newest { version, age }
+}
+
+#[gtest]
+fn keys_may_be_acted_on_for_the_bound_after_the_question() {
+    let mut freshness = Freshness::new(Some(BOUND), 0);
+    expect_that!(freshness.keys_until(7), some(eq(0)));
+    freshness.asks(10 * SECOND, 1);
+    freshness.answered(1, told(7, 300 * MS));
+    let until = 10 * SECOND - 300 * MS + BOUND;
+    // A configuration that is newer than what was in force then is as good.
+    for (version, wanted) in [(6, 0), (7, until), (8, until)] {
+        expect_that!(freshness.keys_until(version), some(eq(wanted)), "{version}");
+    }
+    // Newer evidence of a newer version says nothing more of the older one.
+    freshness.asks(11 * SECOND, 2);
+    freshness.answered(2, told(9, 0));
+    expect_that!(freshness.keys_until(7), some(eq(until)));
+    expect_that!(freshness.keys_until(9), some(eq(11 * SECOND + BOUND)));
+}
+
+#[gtest]
+fn answers_to_no_question_of_this_process_or_a_second_time_change_nothing() {
+    let mut freshness = Freshness::new(Some(BOUND), 0);
+    freshness.answered(1, told(7, 0));
+    expect_that!(freshness.keys_until(7), some(eq(0)));
+    freshness.asks(SECOND, 1);
+    freshness.answered(1, told(7, 0));
+    freshness.answered(1, told(9, 0));
+    expect_that!(freshness.keys_until(7), some(eq(SECOND + BOUND)));
+    expect_that!(freshness.newest(3 * SECOND), some(eq(told(7, 2 * SECOND))));
+}
+
+#[gtest]
+fn older_evidence_never_takes_the_place_of_later_one() {
+    let mut freshness = Freshness::new(Some(BOUND), 0);
+    freshness.learn(5 * SECOND, 7);
+    freshness.learn(3 * SECOND, 7);
+    expect_that!(freshness.keys_until(7), some(eq(5 * SECOND + BOUND)));
+    for version in 8..40 {
+        freshness.learn(5 * SECOND + version * MS, version);
+    }
+    expect_that!(freshness.newest(6 * SECOND).map(|newest| newest.version), some(eq(39)));
+}
+
+#[gtest]
+fn without_a_bound_nothing_is_asked_and_keys_depend_on_nothing() {
+    let mut freshness = Freshness::new(None, 0);
+    expect_that!(freshness.is_due(9 * SECOND), eq(false));
+    expect_that!(freshness.next_wake(), eq(Micros::MAX));
+    expect_that!(freshness.keys_until(1), none());
+}
+
+#[gtest]
+fn others_are_asked_once_what_is_known_is_old() {
+    let mut freshness = Freshness::new(Some(BOUND), 0);
+    expect_that!(freshness.is_old(0), eq(true));
+    freshness.learn(SECOND, 1);
+    expect_that!(freshness.is_old(2 * SECOND), eq(false));
+    expect_that!(freshness.is_old(3 * SECOND), eq(true));
+    let due: Vec<bool> = (0..5).map(|at| freshness.is_due(at * 250 * MS)).collect();
+    expect_that!(due, eq(&[true, false, true, false, true]));
+}
+
+/// Plays days in which keys have to stop working everywhere within five seconds of an acknowledgement.
+fn play(plan: Plan, seeds: u64) -> Result<()> {
+    let mut total = Report::default();
+    let mut failures = Vec::new();
+    for seed in 0..seeds {
+        let plan = Plan { revoke_within: Some(5 * SECOND), ..plan.clone() };
+        let report = World::new(plan, seed).play();
+        if let Some(violation) = &report.violation {
+            failures.push(format!("seed {seed}: {violation}"));
+        }
+        total.add(&report);
+    }
+    if !failures.is_empty() {
+        return fail!("{} days break a rule:\n{}", failures.len(), failures.join("\n"));
+    }
+    verify_that!((total.checked > 0, total.acknowledged > 0), eq((true, true)))
+}
+
+#[gtest]
+fn keys_stop_working_everywhere_whatever_goes_wrong() -> Result<()> {
+    play(Plan::new(9, 3, 1), 40)?;
+    play(Plan::new(9, 9, 2), 10)
+}
+
+/// Whoever is cut off hears nothing of a change, and stops acting on its keys all the same.
+#[gtest]
+fn keys_stop_working_at_nodes_that_are_cut_off() -> Result<()> {
+    const LASTS: Micros = 11 * SECOND;
+    let victims = [Victim::Primary, Victim::OtherCore, Victim::WithoutDisk, Victim::HalfWithPrimary];
+    let troubles = [Trouble::Cut, Trouble::CutFromCore, Trouble::Deaf, Trouble::Mute, Trouble::CutAndFrozen];
+    for victim in victims {
+        for trouble in troubles {
+            let outage = Some(Outage { victim, trouble, lasts: LASTS });
+            let plan = Plan { faults: 0, outage, calm_for: LASTS + 8 * SECOND, ..Plan::new(8, 5, 2) };
+            play(plan, 1)?;
+        }
+    }
+    Ok(())
+}
--- a/controlplane/tests/regressions.rs
+++ b/controlplane/tests/regressions.rs
@@ -36,6 +36,7 @@
             beat_every: 1_200 * MS,
             order_lease: 3 * SECOND,
             version_within: 8 * SECOND,
+            revoke_within: None,
             machine_losses: 1,
             now: 0,
         });
--- a/controlplane/tests/weights.rs
+++ b/controlplane/tests/weights.rs
@@ -25,6 +25,7 @@
         beat_every: 1_200 * MS,
         order_lease: 3 * SECOND,
         version_within: WITHIN,
+        revoke_within: None,
         machine_losses: 1,
         now: 0,
     })
--- a/dataplane/src/client.rs
+++ b/dataplane/src/client.rs
@@ -30,6 +30,8 @@
 /// A body may take this long in all, if it comes at all.
 const BODY_WITHIN: Duration = Duration::from_secs(10);
 
+/// A client whose node can't be sure of keys comes back after this: it reaches another node then.
+const LAPSED_PAUSE: Duration = Duration::from_millis(60);
 /// A client whose node is about to end comes back after this: it reaches another node then.
 const CLOSING_PAUSE: Duration = Duration::from_millis(60);
 
@@ -74,7 +76,10 @@
             }
             Next::Request(head, body, open) => {
                 let arrived = Instant::now();
-                let close = !head.keeps_alive() || head.is_old() || plane.ends_connections();
+                let close = !head.keeps_alive()
+                    || head.is_old()
+                    || plane.ends_connections()
+                    || plane.keys_have_lapsed();
                 match answer(&plane, &mut client, &head, &body, arrived, close).await {
                     Left::Answered if !close => {}
                     Left::Answered => {
@@ -124,7 +129,15 @@
         return Err(OwnAnswer::Refused(CLOSING_PAUSE));
     }
     match plane.configured_within(CONFIGURED_WITHIN).await {
-        Some(configuration) => admit(&configuration, head, plane.shared_wall()),
+        Some(configuration) => {
+            let admitted = admit(&configuration, head, plane.shared_wall());
+            let by_key = match &admitted {
+                Ok(admitted) => admitted.tenant.is_some(),
+                Err(answer) => *answer == OwnAnswer::UnknownKey,
+            };
+            // The key may have been taken away, or given, without word of it.
+            if by_key && plane.keys_have_lapsed() { Err(OwnAnswer::Refused(LAPSED_PAUSE)) } else { admitted }
+        }
         None => Err(OwnAnswer::Refused(UNCONFIGURED_PAUSE)),
     }
 }
--- a/dataplane/src/shared.rs
+++ b/dataplane/src/shared.rs
@@ -83,6 +83,8 @@
     phase: watch::Sender<Phase>,
     open: Cell<usize>,
     has_control: Cell<bool>,
+    /// Until when keys may be acted on; none where that depends on nothing.
+    keys_until: Cell<Option<Micros>>,
     /// Told when versions are named or postponed.
     versions_changed: watch::Sender<()>,
     pub(crate) feeds: Feeds,
@@ -105,6 +107,7 @@
             phase: watch::Sender::new(Phase::Serving),
             open: Cell::new(0),
             has_control: Cell::new(false),
+            keys_until: Cell::new(None),
             versions_changed: watch::Sender::new(()),
             feeds: Feeds::default(),
             sharing: Sharing::new(setup.zone),
@@ -195,11 +198,22 @@
         self.has_control.set(has);
     }
 
+    /// Until when (by [`DataPlane::now`]) the keys of the configuration in force may be acted on: after that one of them
+    /// may have been taken away without word of it. Without this call they may be for ever.
+    pub fn set_keys_until(&self, until: Micros) {
+        self.keys_until.set(Some(until));
+    }
+
+    /// True if it is not known whether keys are still good.
+    pub(crate) fn keys_have_lapsed(&self) -> bool {
+        self.keys_until.get().is_some_and(|until| self.now() >= until)
+    }
+
     /// True if new connections are welcome.
     pub fn is_ready(&self) -> bool {
-        *self.phase.borrow() == Phase::Serving
-            && self.has_control.get()
-            && self.configuration.borrow().is_some()
+        let configuration = self.configuration.borrow();
+        let serves = configuration.as_ref().is_some_and(|one| !one.needs_key() || !self.keys_have_lapsed());
+        *self.phase.borrow() == Phase::Serving && self.has_control.get() && serves
     }
 
     /// True while requests that come are begun.
--- /dev/null
+++ b/dataplane/tests/lapsed_keys.rs
@@ -0,0 +1,61 @@
+//! A node that can't be sure of its keys: what it still serves.
+
+mod common;
+
+use common::*;
+use googletest::prelude::*;
+use serde_json::json;
+
+/// Two tenants with keys, and one route that needs none.
+fn configuration() -> serde_json::Value {
+    let mut body = with_tenants();
+    body["routes"][0]["public"] = json!(true);
+    body
+}
+
+/// Far ahead.
+const LATER: u64 = 3_600_000_000;
+
+#[gtest]
+fn what_needs_a_key_is_refused_and_the_rest_is_served() {
+    run(async {
+        let world = World::with_configuration(configuration(), vec![]).await;
+        let prefix =
+            |at: usize| configuration()["routes"][at]["pathPrefix"].as_str().expect("a prefix").to_owned();
+        let (public, keyed) = (format!("{}x", prefix(0)), format!("{}x", prefix(1)));
+        let asks = [
+            ("no key needed", Ask::get(&public), 200),
+            ("a key", Ask::post(&keyed).field("X-Api-Key", "key-red"), 503),
+            (
+                "a key that nobody has, or has only just been given",
+                Ask::post(&keyed).field("X-Api-Key", "new"),
+                503,
+            ),
+            ("a tenant's key where none is needed", Ask::get(&public).field("X-Api-Key", "key-red"), 503),
+        ];
+        world.plane.set_keys_until(0);
+        expect_that!(world.plane.is_ready(), eq(false));
+        for (what, ask, status) in &asks {
+            let answer = world.ask(ask).await;
+            expect_that!(answer.status, eq(*status), "{what}");
+            // The client is to go to another node.
+            expect_that!(answer.field("Connection"), some(eq("close")), "{what}");
+        }
+        expect_that!(world.all_arrivals().await.len(), eq(1));
+        world.plane.set_keys_until(LATER);
+        expect_that!(world.plane.is_ready(), eq(true));
+        let [_, (_, keyed, _), (_, unknown, _), _] = &asks;
+        expect_that!(world.ask(keyed).await.status, eq(200));
+        expect_that!(world.ask(unknown).await.status, eq(401));
+    });
+}
+
+#[gtest]
+fn without_tenants_nothing_depends_on_keys() {
+    run(async {
+        let world = World::new(vec![]).await;
+        world.plane.set_keys_until(0);
+        expect_that!(world.plane.is_ready(), eq(true));
+        expect_that!(world.ask(&Ask::get("/safe/x")).await.status, eq(200));
+    });
+}
--- a/proto/src/envelope.rs
+++ b/proto/src/envelope.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use crate::fields::{Decode, DecodeError, Encode, FieldWriter, Fields, UnknownVariantSnafu};
-use crate::node::{Forward, Forwarded, SessionBeat, SessionGrant};
+use crate::node::{Forward, Forwarded, NewestAsk, NewestTold, SessionBeat, SessionGrant};
 
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +31,10 @@
     Forward(Forward),
     /// Its answer.
     Forwarded(Forwarded),
+    /// Which configuration is the newest?
+    NewestAsk(NewestAsk),
+    /// The answer to it.
+    NewestTold(NewestTold),
 }
 
 const CONTROL: u64 = 1;
@@ -40,6 +44,8 @@
 const FOUND: u64 = 5;
 const FORWARD: u64 = 6;
 const FORWARDED: u64 = 7;
+const NEWEST_ASK: u64 = 8;
+const NEWEST_TOLD: u64 = 9;
 
 impl Encode for Envelope {
     fn encode(&self, to: &mut FieldWriter) {
@@ -52,6 +58,8 @@
             Content::Found(view) => (FOUND, view.to_bytes()),
             Content::Forward(message) => (FORWARD, message.to_bytes()),
             Content::Forwarded(message) => (FORWARDED, message.to_bytes()),
+            Content::NewestAsk(message) => (NEWEST_ASK, message.to_bytes()),
+            Content::NewestTold(message) => (NEWEST_TOLD, message.to_bytes()),
         };
         to.number(2, variant);
         to.bytes(3, &bytes);
@@ -69,6 +77,8 @@
             FOUND => Content::Found(fields.message(NAME, 3)?),
             FORWARD => Content::Forward(fields.message(NAME, 3)?),
             FORWARDED => Content::Forwarded(fields.message(NAME, 3)?),
+            NEWEST_ASK => Content::NewestAsk(fields.message(NAME, 3)?),
+            NEWEST_TOLD => Content::NewestTold(fields.message(NAME, 3)?),
             variant => return UnknownVariantSnafu { message: NAME, variant }.fail(),
         };
         Ok(Envelope { from: fields.address(NAME, 1)?, content })
--- a/proto/src/node.rs
+++ b/proto/src/node.rs
@@ -55,6 +55,24 @@
     pub view: Option<ViewSummary>,
 }
 
+/// Asks which configuration is the newest that can have been acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NewestAsk {
+    /// Names the question.
+    pub name: u64,
+}
+
+/// The answer to a [`NewestAsk`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NewestTold {
+    /// The question's name.
+    pub name: u64,
+    /// The version of the newest configuration, 0 if there was none.
+    pub version: u64,
+    /// How long before the answer that was so, in microseconds.
+    pub age: u64,
+}
+
 /// A call for the primary.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlCall {
@@ -238,6 +256,32 @@
     }
 }
 
+impl Encode for NewestAsk {
+    fn encode(&self, to: &mut FieldWriter) {
+        to.number(1, self.name);
+    }
+}
+
+impl Decode for NewestAsk {
+    fn decode(fields: &Fields<'_>) -> Result<Self, DecodeError> {
+        Ok(NewestAsk { name: fields.number(1) })
+    }
+}
+
+impl Encode for NewestTold {
+    fn encode(&self, to: &mut FieldWriter) {
+        to.number(1, self.name);
+        to.number(2, self.version);
+        to.number(3, self.age);
+    }
+}
+
+impl Decode for NewestTold {
+    fn decode(fields: &Fields<'_>) -> Result<Self, DecodeError> {
+        Ok(NewestTold { name: fields.number(1), version: fields.number(2), age: fields.number(3) })
+    }
+}
+
 impl Encode for Forward {
     fn encode(&self, to: &mut FieldWriter) {
         to.number(1, self.ticket);
--- a/proto/tests/common/mod.rs
+++ b/proto/tests/common/mod.rs
@@ -371,6 +371,12 @@
         view().prop_map(Content::Found),
         forward().prop_map(Content::Forward),
         forwarded().prop_map(Content::Forwarded),
+        number().prop_map(|name| Content::NewestAsk(NewestAsk { name })),
+        (number(), number(), number()).prop_map(|(name, version, age)| Content::NewestTold(NewestTold {
+            name,
+            version,
+            age
+        })),
     ];
     (address(), content).prop_map(|(from, content)| Envelope { from, content }).boxed()
 }
--- a/system/src/effects.rs
+++ b/system/src/effects.rs
@@ -6,6 +6,7 @@
 
 use gradepaddle_config::Configuration;
 use gradepaddle_control::{Record, Token};
+use gradepaddle_controlplane::clock::Clock;
 use gradepaddle_controlplane::driver::Effects;
 use gradepaddle_controlplane::node::{Event, MemberNode};
 use gradepaddle_controlplane::rollout::OrderAnswer;
@@ -37,6 +38,8 @@
     pub plane: Rc<DataPlane>,
     /// The disk, where this node keeps control state.
     pub writer: RefCell<Option<Writer>>,
+    /// The clock of the control plane.
+    pub clock: Clock,
     /// Told when the control state is in other hands.
     pub may_end: Rc<Notify>,
     /// Where to log.
@@ -109,6 +112,13 @@
         info!(self.log, "control"; "in_touch" => in_touch);
     }
 
+    fn keys_until(&self, until: Micros) {
+        // In this order, so that a pause between the two shortens the span.
+        let now = self.plane.now();
+        let span = until.saturating_sub(self.clock.now());
+        self.plane.set_keys_until(if span > 0 { now + span } else { 0 });
+    }
+
     fn event(&self, event: Event) {
         match event {
             Event::Leading { epoch } => info!(self.log, "leading"; "epoch" => epoch),
--- a/system/src/run.rs
+++ b/system/src/run.rs
@@ -51,6 +51,9 @@
 /// A disk that refused is tried again after this.
 const DISK_AGAIN_AFTER: Duration = Duration::from_millis(500);
 
+/// Keys that may have been taken away stop working so long before they have to.
+const REVOKE_MARGIN: Duration = Duration::from_millis(250);
+
 /// Runs a node until it is told to end.
 ///
 /// # Errors
@@ -124,8 +127,10 @@
     let started = Instant::now();
     let (back, events) = mpsc::unbounded_channel();
     let plane = data_plane(&settings, &log);
+    let clock = Clock::new(started);
     let effects = Rc::new(NodeEffects {
         plane: plane.clone(),
+        clock,
         writer: RefCell::new(None),
         may_end: Rc::new(Notify::new()),
         log: log.clone(),
@@ -142,7 +147,6 @@
     let links = Links::new(link_address(&settings));
     let ears = Ears { events, envelopes, back: back.clone() };
     let owner: Arc<str> = Arc::from(&*settings.node_name);
-    let clock = Clock::new(started);
     let driver = Driver::new(node, ears, links, effects.clone(), owner, clock);
     tokio::task::spawn_local(driver.run());
     tokio::task::spawn_local(keep_control_state(settings.clone(), effects.clone(), back.clone(), clock));
@@ -269,6 +273,10 @@
         beat_every: micros(settings.beat_every),
         order_lease: micros(settings.bounds.lease),
         version_within: micros(settings.bounds.version),
+        revoke_within: settings
+            .bounds
+            .revoke_everywhere
+            .then(|| micros(settings.bounds.revoke.saturating_sub(REVOKE_MARGIN))),
         machine_losses: losses,
         now: CLOCK_START,
     })
