Ask for evidence of keys sooner while there is none, and let first requests wait for it

Change: asked each 150 ms while what is known is old; a young node lets requests wait for the first evidence for 0.7 s, as it does for the configuration; the log tells when keys lapse and are good again.

--- a/controlplane/src/freshness.rs
+++ b/controlplane/src/freshness.rs
@@ -11,6 +11,8 @@
 
 /// Evidence is asked for this often.
 const ASK_EVERY: Micros = 500_000;
+/// The same while what is known is old, or nothing is.
+const ASK_EVERY_WHEN_OLD: Micros = 150_000;
 /// Once the latest is older than this, others are asked besides.
 const OLD_AFTER: Micros = 1_500_000;
 /// A question that was not answered within this is forgotten.
@@ -54,7 +56,7 @@
     pub fn is_due(&mut self, now: Micros) -> bool {
         let due = self.is_required() && now >= self.ask_at;
         if due {
-            self.ask_at = now + ASK_EVERY;
+            self.ask_at = now + if self.is_old(now) { ASK_EVERY_WHEN_OLD } else { ASK_EVERY };
             self.asked.retain(|_, asked| now.saturating_sub(*asked) < FORGOTTEN_AFTER);
         }
         due
--- a/dataplane/src/client.rs
+++ b/dataplane/src/client.rs
@@ -20,6 +20,8 @@
 const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(300);
 /// After a start, a request waits for the configuration this long: it comes as soon as a primary is there.
 const CONFIGURED_WITHIN: Duration = Duration::from_millis(1500);
+/// After a start, a request that needs a key waits this long for evidence that keys are good.
+const SHOWN_WITHIN: Duration = Duration::from_millis(700);
 /// Limits until there is a configuration.
 const EARLY_LIMITS: Limits = Limits {
     max_header_bytes: 16 * 1024,
@@ -130,6 +132,9 @@
     }
     match plane.configured_within(CONFIGURED_WITHIN).await {
         Some(configuration) => {
+            if configuration.needs_key() {
+                plane.keys_shown_within(SHOWN_WITHIN).await;
+            }
             let admitted = admit(&configuration, head, plane.shared_wall());
             let by_key = match &admitted {
                 Ok(admitted) => admitted.tenant.is_some(),
--- a/dataplane/src/shared.rs
+++ b/dataplane/src/shared.rs
@@ -85,6 +85,10 @@
     has_control: Cell<bool>,
     /// Until when keys may be acted on; none where that depends on nothing.
     keys_until: Cell<Option<Micros>>,
+    /// Whether they could be when that was last looked at, for the log.
+    keys_lapsed: Cell<bool>,
+    /// Told when there is other evidence of keys.
+    keys_changed: watch::Sender<()>,
     /// Told when versions are named or postponed.
     versions_changed: watch::Sender<()>,
     pub(crate) feeds: Feeds,
@@ -108,6 +112,8 @@
             open: Cell::new(0),
             has_control: Cell::new(false),
             keys_until: Cell::new(None),
+            keys_lapsed: Cell::new(false),
+            keys_changed: watch::Sender::new(()),
             versions_changed: watch::Sender::new(()),
             feeds: Feeds::default(),
             sharing: Sharing::new(setup.zone),
@@ -202,6 +208,29 @@
     /// may have been taken away without word of it. Without this call they may be for ever.
     pub fn set_keys_until(&self, until: Micros) {
         self.keys_until.set(Some(until));
+        self.keys_changed.send_replace(());
+        self.note_lapse();
+    }
+
+    /// Logs when keys lapse and when they are good again.
+    fn note_lapse(&self) {
+        let lapsed = self.keys_have_lapsed();
+        if self.keys_lapsed.replace(lapsed) != lapsed {
+            info!(self.log, "keys"; "lapsed" => lapsed);
+        }
+    }
+
+    /// Waits for the first evidence that keys are good: it comes soon after the configuration.
+    pub(crate) async fn keys_shown_within(&self, span: Duration) {
+        let mut changes = self.keys_changed.subscribe();
+        let shown = async {
+            while self.keys_until.get() == Some(0) {
+                // The sender lives as long as this does.
+                drop(changes.changed().await);
+            }
+        };
+        // Without any in time the caller finds that they have lapsed.
+        let _ = timeout(span, shown).await;
     }
 
     /// True if it is not known whether keys are still good.
@@ -254,6 +283,7 @@
 
     /// Housekeeping, about once a second.
     pub fn sweep(&self) {
+        self.note_lapse();
         self.upstreams.sweep();
         self.sweep_stores();
     }
--- a/dataplane/tests/lapsed_keys.rs
+++ b/dataplane/tests/lapsed_keys.rs
@@ -33,7 +33,7 @@
             ),
             ("a tenant's key where none is needed", Ask::get(&public).field("X-Api-Key", "key-red"), 503),
         ];
-        world.plane.set_keys_until(0);
+        world.plane.set_keys_until(1);
         expect_that!(world.plane.is_ready(), eq(false));
         for (what, ask, status) in &asks {
             let answer = world.ask(ask).await;
@@ -59,3 +59,21 @@
         expect_that!(world.ask(&Ask::get("/safe/x")).await.status, eq(200));
     });
 }
+
+/// A node that has just started hears of keys a little later than of the configuration.
+#[gtest]
+fn a_young_node_lets_requests_wait_for_the_first_evidence() {
+    run(async {
+        let world = World::with_configuration(configuration(), vec![]).await;
+        world.plane.set_keys_until(0);
+        let plane = world.plane.clone();
+        let target = format!("{}x", configuration()["routes"][1]["pathPrefix"].as_str().expect("a prefix"));
+        let ask = Ask::post(&target).field("X-Api-Key", "key-red");
+        let (answer, ()) = tokio::join!(world.ask(&ask), async move {
+            // The request is read by then, or finds the evidence: it is answered alike.
+            tokio::task::yield_now().await;
+            plane.set_keys_until(LATER);
+        });
+        expect_that!(answer.status, eq(200));
+    });
+}
