Let balancers spend 200 KB/s on loads in fleets of up to a hundred

Cause: a message to 90 others costs 12 KB, so 100 KB/s were used up by seven placements a second and some messages went to a few only.

--- a/dataplane/src/load_sharing/audience.rs
+++ b/dataplane/src/load_sharing/audience.rs
@@ -10,8 +10,8 @@
 
 use gradepaddle_engine::Micros;
 
-/// Bytes a second that a balancer may spend in a fleet of up to so many: a twelfth of the smallest machine's link.
-const BYTES_PER_S: f64 = 100_000.0;
+/// Bytes a second that a balancer may spend in a fleet of up to so many: a sixth of the smallest machine's link.
+const BYTES_PER_S: f64 = 200_000.0;
 const SMALL_FLEET: f64 = 100.0;
 /// The same in a fleet of so many and more. Between the two it falls evenly.
 const LEAST_BYTES_PER_S: f64 = 8_000.0;
