Place long readings away from streams that they make late, where pauses tell of it

Change: the longest pause of each stream that comes whole is learned by service (97th percentile); where it is near the streams' bound, a long reading costs for each request that runs at its server. Nothing is known of an engine beforehand. Old holders are still asked less, by what is believed to be left of them.

--- a/dataplane/src/admission.rs
+++ b/dataplane/src/admission.rs
@@ -33,6 +33,8 @@
     pub time: Duration,
     /// Inside this an answer has its full worth.
     pub aim: Duration,
+    /// Inside this its events have to follow one another, if its route says so.
+    pub gap_aim: Option<Duration>,
     /// The most servers it may be sent to.
     pub tries: u32,
     /// It may run more than once.
@@ -78,6 +80,7 @@
         tenant: tenant.map(|tenant| tenant.name.clone()),
         time: asked.min(route.timeout),
         aim: route.target,
+        gap_aim: route.gap_aim,
         tries: route.tries.max(1),
         may_repeat: route.may_repeat(),
         streaming: route.kind == gradepaddle_config::RouteKind::Streaming,
--- a/dataplane/src/exchange.rs
+++ b/dataplane/src/exchange.rs
@@ -146,6 +146,7 @@
             tokens_out: self.admitted.tokens_out,
             priority: self.admitted.priority,
             aim: self.admitted.aim.as_micros() as u64,
+            gap: self.admitted.gap_aim.map_or(0, |gap| gap.as_micros() as u64),
             time_left: self.deadline().saturating_duration_since(Instant::now()).as_micros() as u64,
             wall: self.admitted.wall.clone(),
             resumed_from,
--- a/dataplane/src/relay.rs
+++ b/dataplane/src/relay.rs
@@ -2,8 +2,9 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
-use gradepaddle_engine::{AttemptOutcome, Choice, OutdatedBegin};
+use gradepaddle_engine::{AttemptOutcome, Choice, OutdatedBegin, OwnPause};
 use gradepaddle_http::buffers::Chain;
 use gradepaddle_http::{Connection, Framing, chunk, push_framing, push_headers};
 use slog::warn;
@@ -47,6 +48,23 @@
     framing: Option<Framing>,
     told: bool,
     ended: bool,
+    pauses: PauseWatch,
+}
+
+/// The pauses between the events of one stream.
+#[derive(Default)]
+struct PauseWatch {
+    last: Option<Instant>,
+    longest: Option<Duration>,
+}
+
+impl PauseWatch {
+    /// Events came.
+    fn events_came(&mut self, now: Instant) {
+        if let Some(last) = self.last.replace(now) {
+            self.longest = self.longest.max(Some(now - last));
+        }
+    }
 }
 
 impl<'a> Relay<'a> {
@@ -73,6 +91,7 @@
             framing: None,
             told: false,
             ended: false,
+            pauses: PauseWatch::default(),
         }
     }
 
@@ -90,6 +109,8 @@
         self.choice = choice;
         self.told = false;
         self.ended = false;
+        // The way to another server is no pause of a service.
+        self.pauses = PauseWatch::default();
         if let Some(events) = &mut self.events {
             events.drop_partial();
         }
@@ -131,6 +152,7 @@
             }
             if last {
                 self.tell(AttemptOutcome::Served);
+                self.tell_pause();
                 self.park();
                 return Relayed::Whole;
             }
@@ -185,11 +207,23 @@
             let server: &Arc<str> = &self.choice.server;
             self.plane.engine.borrow_mut().observe_version(now, server, model, version);
         }
+        if !whole.is_empty() {
+            self.pauses.events_came(Instant::now());
+        }
         let mut out = self.plane.pool.chain();
         out.push(&whole);
         out
     }
 
+    /// A stream came whole from one server: its longest pause tells of the service.
+    fn tell_pause(&self) {
+        if let Some(longest) = self.pauses.longest {
+            let longest = longest.as_micros() as u64;
+            let pause = OwnPause { service: &self.admitted.service, longest };
+            self.plane.engine.borrow_mut().observe_pause(pause);
+        }
+    }
+
     fn warn_outdated(&self, begin: OutdatedBegin) {
         warn!(self.plane.log, "request begun on outdated weights"; "server" => &*self.choice.server,
             "version" => begin.version, "binding" => begin.binding, "waited_ms" => begin.waited / MILLISECOND);
--- a/engine/src/api.rs
+++ b/engine/src/api.rs
@@ -141,6 +141,8 @@
     pub priority: u8,
     /// The time to its first event within which it earns its full worth.
     pub aim: Micros,
+    /// The longest pause between its events within which they are in time; 0 if there is no such bound.
+    pub gap: Micros,
     /// What is left of its deadline.
     pub time_left: Micros,
     /// Whose kept parts it may use.
@@ -149,6 +151,15 @@
     pub resumed_from: Option<u64>,
 }
 
+/// The longest pause between two events of a stream that came whole.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnPause<'a> {
+    /// The service that served it.
+    pub service: &'a str,
+    /// The pause.
+    pub longest: Micros,
+}
+
 /// Names one attempt that was chosen, until it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct AttemptId(pub u64);
--- a/engine/src/choice.rs
+++ b/engine/src/choice.rs
@@ -18,6 +18,9 @@
 const HELD_UP: f64 = 0.4;
 /// A reading of less holds nobody up for long, and is better done where its shared parts are.
 const SHORT_MS: f64 = 100.0;
+/// A reading that is believed to go on for this share of the pause that streams see is one of those that cause it: engines
+/// differ, and some read much slower than is believed.
+const LONG_READING: f64 = 0.4;
 /// What an answer's longer writing costs: its events come late, its first one does not.
 const SLOWED: f64 = 0.08;
 /// The share of a server's memory that running requests may take, before one is preempted.
@@ -36,6 +39,11 @@
     pub(crate) miss: f64,
     /// Reading the request's own tokens at usual speed.
     pub(crate) read_ms: f64,
+    /// Whether somebody is believed to have the shared tokens, so that they are moved and not read.
+    pub(crate) fetched: bool,
+    /// A reading that goes on for this long has streams beside it pause as long, and what that costs for each of them.
+    pub(crate) pause_ms: f64,
+    pub(crate) paused: f64,
     /// Writing the request's answer where nothing is read beside it.
     pub(crate) write_ms: f64,
     /// Tokens of the request, and what a server's memory holds; 0 if unknown.
@@ -107,8 +115,10 @@
         // Of servers that would all miss, the home decides, wherever it stands.
         let far = if warm > 0.0 { far } else { 0.0 };
         let held_up = (self.read_ms - SHORT_MS).max(0.0) * f64::from(row.running) * HELD_UP;
+        let paused = self.paused(row, load, warm);
         let slowed = self.write_ms * f64::from(row.slowed) * SLOWED;
         wait + held_up
+            + paused
             + slowed
             + locality(self.miss, warm)
             + replacement(load, self.idle, self.miss, warm)
@@ -116,6 +126,16 @@
             + old
     }
 
+    /// What it costs the streams that run there if the server reads on for so long that they pause beyond their bound.
+    fn paused(&self, row: &Row, load: f64, warm: f64) -> f64 {
+        if self.paused <= 0.0 {
+            return 0.0;
+        }
+        let shared = if self.fetched { 0.0 } else { self.miss * (1.0 - warm) };
+        let reads_for = load + (self.read_ms + shared) * f64::from(row.speed);
+        if reads_for < LONG_READING * self.pause_ms { 0.0 } else { self.paused * f64::from(row.running) }
+    }
+
     fn order(&self, row: &Row) -> u64 {
         order(mix(row.hash ^ self.key), 1.0, true)
     }
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -194,7 +194,11 @@
             self.fleet.begin_move(now, source);
         }
         let reads = tokens - held.min(tokens) - source.map_or(0, |s| s.gains.min(tokens));
-        let save = if found { self.save(now, terms.key, pick.version, reads, heads) } else { None };
+        let save = if found && source.is_none_or(|source| source.gains == 0) {
+            self.save(now, terms.key, pick.version, reads, heads)
+        } else {
+            None
+        };
         self.note(&pick, found, &source, save.is_some());
         let attempt =
             self.begin(now, service, server, request, &pick, reads, source, (terms.key, hash(&salt)));
--- a/engine/src/fleet.rs
+++ b/engine/src/fleet.rs
@@ -9,6 +9,7 @@
 use crate::budget::RetryBudget;
 use crate::load::{Common, ServerLoad, Tick, Usual};
 use crate::names::Names;
+use crate::pauses::Pauses;
 use crate::server::{Bar, Server};
 use crate::store::Store;
 use crate::version::Weights;
@@ -60,6 +61,8 @@
     pub(crate) mean_load: f64,
     /// The tightest aim of late, in milliseconds.
     pub(crate) tightest_ms: f64,
+    /// What reading does to the streams that run beside it.
+    pub(crate) pauses: Pauses,
     /// The versions that its servers have, by model.
     pub(crate) versions: Vec<(u32, u64)>,
     stale: bool,
@@ -138,6 +141,7 @@
             common: Common { others, read_ms: READ_MS, hold_ms: HOLD_MS, ..Common::default() },
             mean_load: 0.0,
             tightest_ms: f64::INFINITY,
+            pauses: Pauses::default(),
             versions: Vec::new(),
             stale: false,
             ticked: 0,
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -16,6 +16,7 @@
 mod load;
 mod moves;
 mod names;
+mod pauses;
 mod prompt;
 mod server;
 mod sharing;
--- a/engine/src/moves.rs
+++ b/engine/src/moves.rs
@@ -60,8 +60,6 @@
     /// Tokens that it has beyond what the server has; 0 where it was only guessed to have them.
     pub(crate) gains: u32,
     pub(crate) takes_ms: f64,
-    /// How far it is believed to have them still.
-    pub(crate) trust: f32,
 }
 
 impl Fleet {
@@ -99,7 +97,7 @@
             let far = if from == zone { 1.0 } else { BETWEEN_ZONES };
             let takes_ms = move_ms(spec, link, gains) * far;
             let saves = read_ms(gains) * f64::from(head.trust) - takes_ms - wait;
-            let source = Source { holder: head.holder, address, gains, takes_ms, trust: head.trust };
+            let source = Source { holder: head.holder, address, gains, takes_ms };
             (saves > 0.0 && wait < LONGEST_WAIT_MS).then_some((saves, source))
         };
         let (_, source) = heads.iter().filter_map(value).max_by(|a, b| a.0.total_cmp(&b.0))?;
@@ -112,7 +110,7 @@
             return None;
         }
         let (address, ..) = self.askable(now, holder)?;
-        Some(Source { holder, address, gains: 0, takes_ms: 0.0, trust: 0.0 })
+        Some(Source { holder, address, gains: 0, takes_ms: 0.0 })
     }
 
     /// The store that keeps a key's parts: by agreement, among those that can be asked.
--- a/engine/src/sources.rs
+++ b/engine/src/sources.rs
@@ -7,8 +7,6 @@
 use crate::kept::Head;
 use crate::moves::{LEAST_TOKENS, Need, Source};
 
-/// A source that is trusted less than this comes after the store, which keeps parts for longer.
-const SURE: f32 = 0.6;
 /// Parts are saved again after this long if the store has not told of them.
 const SAVE_AGAIN: Micros = 5_000_000;
 
@@ -25,8 +23,7 @@
         heads: &[(u64, Vec<Head>)],
     ) -> Option<Source> {
         let same = heads.iter().find(|(version, _)| Some(*version) == pick.version);
-        let known = same.and_then(|(_, heads)| self.fleet.source(now, need, heads));
-        if let Some(source) = known.filter(|source| source.trust >= SURE) {
+        if let Some(source) = same.and_then(|(_, heads)| self.fleet.source(now, need, heads)) {
             return Some(source);
         }
         if pick.warm >= SOURCE_WARM {
@@ -40,8 +37,7 @@
         let home = || home(terms, rows, &self.fleet.servers, pick.version).map(|at| rows[at].server + STORES);
         let home = if need.shared >= LEAST_TOKENS { home() } else { None };
         let store = self.fleet.store_of(now, terms.key);
-        let guess = |holder| self.fleet.guess(now, need, holder);
-        store.and_then(guess).or(known).or_else(|| [holder, home].into_iter().flatten().find_map(guess))
+        [store, holder, home].into_iter().flatten().find_map(|holder| self.fleet.guess(now, need, holder))
     }
 
     /// A source for parts that the server is believed to keep: it may have dropped them to make room, and reading them
--- a/engine/src/warmth.rs
+++ b/engine/src/warmth.rs
@@ -13,6 +13,8 @@
 
 /// L_idle as a share of the tightest aim: below it a wait is not felt.
 const IDLE: f64 = 0.03;
+/// What a stream that is late by a pause costs, as a share of the tightest aim.
+const PAUSED: f64 = 0.5;
 /// The aim of a request that has none.
 const AIM: Micros = 1_000_000;
 /// Half-life of a server's place in a key's set.
@@ -47,6 +49,7 @@
         let all = f64::from(request.tokens_in) + f64::from(request.tokens_out);
         let own = read_ms(request.tokens_in.saturating_sub(tokens));
         service.learn_request(aim_ms, own, all);
+        service.pauses.learn_bound(request.gap);
         let terms = Terms {
             now,
             key,
@@ -54,6 +57,9 @@
             overload: aim_ms.max(service.tightest_ms),
             miss: miss_ms(&service.spec, tokens, has_source),
             read_ms: own,
+            fetched: has_source,
+            pause_ms: service.pauses.beside_reading_ms,
+            paused: service.pauses.risk() * PAUSED * service.tightest_ms,
             write_ms: f64::from(request.tokens_out) * STEP_MS,
             tokens: all,
             memory: service.spec.cache_tokens as f64,
--- a/engine/tests/common/mod.rs
+++ b/engine/tests/common/mod.rs
@@ -87,6 +87,7 @@
         tokens_out: 13,
         priority: 1,
         aim: 800 * MS,
+        gap: 0,
         time_left: 6_000 * MS,
         wall: Wall::Shared(0),
         resumed_from: None,
--- /dev/null
+++ b/engine/tests/pauses.rs
@@ -0,0 +1,75 @@
+//! Pauses in streams: learned from streams that came whole, and heeded only where they are near the streams' bound.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::*;
+use googletest::prelude::*;
+use gradepaddle_engine::*;
+
+const NOW: Micros = 20_000 * MS;
+const PEER: u64 = 9;
+const BOUND: Micros = 300 * MS;
+
+fn long_request(parts: &[Part], gap: Micros) -> Request<'_> {
+    Request { gap, ..request(parts) }
+}
+
+/// The home of a long prompt that nobody has read, and a node where two streams of another balancer run there.
+fn streams_at_home(pauses: &[Micros], gap: Micros) -> (Arc<str>, Arc<str>) {
+    let parts = long(1, 1);
+    let mut node = engine(4);
+    let home = node.choose(NOW, &long_request(&parts, gap), &[]).expect("a server").server;
+    let mut node = engine(4);
+    node.set_balancers(2);
+    // Some request has told of the bound before.
+    node.choose(NOW - 5_000 * MS, &long_request(&long(2, 2), gap), &[]).expect("a server");
+    for longest in pauses {
+        node.observe_pause(OwnPause { service: SERVICE, longest: *longest });
+    }
+    // The server's own hash is what others name it by.
+    let mut other = engine(4);
+    let chosen = other.choose(NOW, &long_request(&parts, gap), &[]).expect("a server");
+    let mut told = other.own_loads(NOW);
+    told.iter_mut().for_each(|load| (load.backlog_ms, load.running) = (0.0, 2));
+    assert_eq!(chosen.server, home);
+    node.peer_loads(NOW - MS, PEER, 1, told);
+    let taken = node.choose(NOW, &long_request(&parts, gap), &[]).expect("a server").server;
+    (home, taken)
+}
+
+#[gtest]
+fn a_long_reading_keeps_away_from_streams_that_it_would_make_late() {
+    let rows: Vec<(&str, Vec<Micros>, Micros, bool)> = vec![
+        ("nothing is known of pauses", vec![], BOUND, true),
+        ("pauses are short", vec![60 * MS; 100], BOUND, true),
+        ("pauses are near the bound", vec![290 * MS; 100], BOUND, false),
+        ("pauses are beyond the bound", vec![420 * MS; 100], BOUND, false),
+        ("there is no bound", vec![420 * MS; 100], 0, true),
+        ("one stream alone told of a long one", vec![5_000 * MS], BOUND, true),
+    ];
+    for (what, pauses, gap, stays) in rows {
+        let (home, taken) = streams_at_home(&pauses, gap);
+        expect_that!(taken == home, eq(stays), "{what}");
+    }
+}
+
+/// Most streams meet no reading: what the few see that do is learned, and not forgotten over the others.
+#[gtest]
+fn the_longest_pauses_count_not_the_usual_ones() {
+    let mut pauses = Vec::new();
+    for _ in 0..40 {
+        pauses.push(400 * MS);
+        pauses.extend([40 * MS; 9]);
+    }
+    let (home, taken) = streams_at_home(&pauses, BOUND);
+    expect_that!(taken, not(eq(&home)));
+}
+
+#[gtest]
+fn a_service_that_is_not_known_learns_nothing() {
+    let mut node = engine(2);
+    node.observe_pause(OwnPause { service: "other", longest: 9_000 * MS });
+    expect_that!(choose(&mut node, NOW, 1, 1).server.len(), gt(0));
+}
