Judge a request that waited for evidence of keys by the configuration in force after the wait

Evidence that was over when it came counted as none at all, for which requests wait. Ruled out: evidence that was given wrongly. Change: the configuration is read after the wait; evidence that is over is over. The test fails without the mend.

--- a/dataplane/src/client.rs
+++ b/dataplane/src/client.rs
@@ -130,11 +130,13 @@
     if !plane.begins_requests() {
         return Err(OwnAnswer::Refused(CLOSING_PAUSE));
     }
-    match plane.configured_within(CONFIGURED_WITHIN).await {
+    let configured = plane.configured_within(CONFIGURED_WITHIN).await;
+    if configured.is_some_and(|configuration| configuration.needs_key()) {
+        plane.keys_shown_within(SHOWN_WITHIN).await;
+    }
+    // What is shown counts for the configuration that is in force now, not for one of before the wait.
+    match plane.configuration() {
         Some(configuration) => {
-            if configuration.needs_key() {
-                plane.keys_shown_within(SHOWN_WITHIN).await;
-            }
             let admitted = admit(&configuration, head, plane.shared_wall());
             let by_key = match &admitted {
                 Ok(admitted) => admitted.tenant.is_some(),
--- a/dataplane/tests/lapsed_keys.rs
+++ b/dataplane/tests/lapsed_keys.rs
@@ -77,3 +77,29 @@
         expect_that!(answer.status, eq(200));
     });
 }
+
+/// Seen on kctc-grown (apart-revoked-nodes, seed 2): a request waited for evidence, which came with a configuration that
+/// takes its key away, and was let in by the one of before.
+#[gtest]
+fn a_request_that_waited_is_judged_by_the_configuration_that_the_evidence_is_for() {
+    run(async {
+        let world = World::with_configuration(configuration(), vec![]).await;
+        world.plane.set_keys_until(0);
+        let plane = world.plane.clone();
+        let target = format!("{}x", configuration()["routes"][1]["pathPrefix"].as_str().expect("a prefix"));
+        let ask = Ask::post(&target).field("X-Api-Key", "key-blue");
+        let mut later = configuration();
+        later["version"] = json!(1_000_000);
+        later["customers"][1]["apiKeys"] = json!([]);
+        let (answer, ()) = tokio::join!(world.ask(&ask), async move {
+            while plane.counters.requests.get() == 0 {
+                tokio::task::yield_now().await;
+            }
+            tokio::task::yield_now().await;
+            plane.set_configuration(common::configuration::parsed(&later));
+            plane.set_keys_until(LATER);
+        });
+        expect_that!(answer.status, eq(401));
+        expect_that!(world.all_arrivals().await.len(), eq(0));
+    });
+}
--- a/system/src/effects.rs
+++ b/system/src/effects.rs
@@ -116,7 +116,8 @@
         // In this order, so that a pause between the two shortens the span.
         let now = self.plane.now();
         let span = until.saturating_sub(self.clock.now());
-        self.plane.set_keys_until(if span > 0 { now + span } else { 0 });
+        // 0 stands for no evidence at all, for which requests wait; what is over already is over.
+        self.plane.set_keys_until(if until == 0 { 0 } else { now + span });
     }
 
     fn event(&self, event: Event) {
