Bound how often a version's time may begin anew: versionAllMs

Change: a version that is published anew carries how long before it was named; it binds at versionAllMs from its naming at the latest, all time counted. Besides: whom a node asks for evidence of keys when it is old is written more plainly. Tests: weights.rs. Not bounded: a loss of all power, after which nobody knows when a version was named.

--- a/controlplane/src/lib.rs
+++ b/controlplane/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod freshness;
 pub mod kinds;
 pub mod links;
+pub mod naming;
 pub mod node;
 pub mod orders;
 pub mod outbox;
--- a/controlplane/src/node.rs
+++ b/controlplane/src/node.rs
@@ -22,6 +22,7 @@
 use crate::absence::Absence;
 use crate::founding::Founding;
 use crate::freshness::Freshness;
+use crate::naming::VersionTimes;
 use crate::registry::Registry;
 use crate::rollout::Rollout;
 use crate::session::OwnSession;
@@ -50,7 +51,7 @@
     /// For how long two holders must not take turns.
     pub order_lease: Micros,
     /// Within which named weights have to be in use.
-    pub version_within: Micros,
+    pub version_times: VersionTimes,
     /// Within which keys that are taken away have to stop working at every node, if they have to.
     pub revoke_within: Option<Micros>,
     /// How many machines may be lost at once.
@@ -104,7 +105,7 @@
     rank: usize,
     in_touch: bool,
     leading: bool,
-    version_within: Micros,
+    version_times: VersionTimes,
     machine_losses: usize,
     /// The process is about to end.
     leaving: bool,
@@ -147,7 +148,7 @@
             rank: usize::MAX,
             in_touch: false,
             leading: false,
-            version_within: setup.version_within,
+            version_times: setup.version_times,
             machine_losses: setup.machine_losses,
             leaving: false,
             freshness: Freshness::new(setup.revoke_within, setup.now),
--- a/controlplane/src/node/freshness.rs
+++ b/controlplane/src/node/freshness.rs
@@ -39,21 +39,19 @@
     }
 
     /// Whom to ask: a control balancer the primary, all others the control balancer of their session. If what is known is
-    /// old, another node besides, by turns: any node may know, also where the core can't be reached.
+    /// old, a control balancer and any other node besides, by turns: any node may know, also where the core can't be
+    /// reached.
     fn witnesses(&mut self, now: Micros) -> Vec<SocketAddrV4> {
         let view = self.session.view();
         let member = view.members.contains(&self.own);
         let usual = if member { view.primary } else { self.session.control() };
         let mut witnesses: Vec<SocketAddrV4> = usual.into_iter().collect();
         if self.freshness.is_old(now) {
-            let members = view.members.iter().chain(view.primary.iter());
-            let others: Vec<SocketAddrV4> = members.chain(&self.peers).copied().collect();
-            if !others.is_empty() {
-                witnesses.push(others[self.next_witness % others.len()]);
-                // Members of the core and other nodes alternate, whatever their numbers.
-                witnesses.push(others[others.len() - 1 - self.next_witness % others.len()]);
-                self.next_witness += 1;
-            }
+            let turn = self.next_witness;
+            self.next_witness += 1;
+            let by_turns = |nodes: &[SocketAddrV4]| nodes.get(turn % nodes.len().max(1)).copied();
+            witnesses.extend(by_turns(&view.members));
+            witnesses.extend(by_turns(&self.peers));
         }
         witnesses.retain(|witness| *witness != self.own);
         witnesses.sort();
--- a/controlplane/src/node/serving.rs
+++ b/controlplane/src/node/serving.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 
 use gradepaddle_engine::{ModelVersion, ServerEntry, ServerState};
-use gradepaddle_proto::{Decode, Registration};
+use gradepaddle_proto::{Decode, Encode, Registration};
 use gradepaddle_spread::{Item, Stamp};
 
 use super::{Event, Node, Output};
 use crate::Micros;
 use crate::kinds::{self, CONFIGURATION, ORDERED, SERVER, STORE, WEIGHTS};
+use crate::naming::Naming;
 use crate::rollout::{Ordered, Step};
 
 /// A server whose node has been missing for this long, and that no other node has heard of since, counts as lost.
@@ -62,7 +63,7 @@
         let (model, version) = (item.key.clone(), item.stamp.major);
         let known = self.named.insert(item.key.to_string(), version);
         let age = self.spread.age(now, WEIGHTS, &model).unwrap_or(0);
-        let binds_in = self.version_within.saturating_sub(age);
+        let binds_in = self.version_times.binds_in(age, age.saturating_add(named_before(item)));
         out.push(Output::Event(Event::VersionNamed { model: model.clone(), version, binds_in }));
         self.rollout.set_due(&model, version, now + binds_in.saturating_sub(VERSION_MARGIN));
         out.push(match known == Some(version) {
@@ -80,7 +81,10 @@
         let mut results = Vec::new();
         for (model, version) in &self.named {
             let stamp = Stamp { major: *version, minor: epoch };
-            self.spread.publish(now, kinds::item(WEIGHTS, model, stamp, Vec::new()), &mut results);
+            let age = self.spread.age(now, WEIGHTS, model).unwrap_or(0);
+            let before = self.spread.get(WEIGHTS, model).map_or(0, named_before);
+            let naming = Naming { named_before: age.saturating_add(before) };
+            self.spread.publish(now, kinds::item(WEIGHTS, model, stamp, naming.to_bytes()), &mut results);
         }
         self.on_spread_outputs(now, results, out);
     }
@@ -197,6 +201,11 @@
     }
 }
 
+/// How long before its publication a version was named.
+fn named_before(item: &Item) -> Micros {
+    Naming::from_bytes(&item.payload).unwrap_or_default().named_before
+}
+
 /// What a mark of this node's own roll-out says, for the log.
 fn loading_event(mark: &Item) -> Option<Event> {
     let target = Ordered::from_bytes(&mark.payload).ok()?;
--- a/controlplane/tests/callers.rs
+++ b/controlplane/tests/callers.rs
@@ -12,6 +12,7 @@
 use googletest::prelude::*;
 use gradepaddle_controlplane::Micros;
 use gradepaddle_controlplane::calls::Call;
+use gradepaddle_controlplane::naming::VersionTimes;
 use gradepaddle_controlplane::node::{Input, Node, NodeSetup, Output};
 use gradepaddle_controlplane::orders::{self, OrderPermit};
 use gradepaddle_controlplane::rollout::{Order, OrderAnswer, Ordered, Rollout, Servers, Step};
@@ -34,7 +35,7 @@
             founding: None,
             beat_every: 1_200 * MS,
             order_lease: 3 * SECOND,
-            version_within: 8 * SECOND,
+            version_times: VersionTimes { within: 8 * SECOND, in_all: None },
             revoke_within: None,
             machine_losses: 1,
             now: 0,
--- a/controlplane/tests/fleet/machine.rs
+++ b/controlplane/tests/fleet/machine.rs
@@ -7,6 +7,7 @@
 use gradepaddle_control::{Flaw, Replica, ReplicaConfig};
 use gradepaddle_controlplane::CLOCK_START;
 use gradepaddle_controlplane::founding::Founding;
+use gradepaddle_controlplane::naming::VersionTimes;
 use gradepaddle_controlplane::node::{Node, NodeSetup};
 use gradepaddle_controlplane::session::OwnSession;
 use gradepaddle_engine::ServerState;
@@ -155,7 +156,7 @@
             founding: Founding::new(self.address, &boot.seeds, boot.losses, boot.first, CLOCK_START),
             beat_every: BEAT_EVERY,
             order_lease: LEASE,
-            version_within: VERSION_WITHIN,
+            version_times: VersionTimes { within: VERSION_WITHIN, in_all: None },
             revoke_within: boot.revoke_within,
             machine_losses: boot.losses,
             now: CLOCK_START,
--- a/controlplane/tests/weights.rs
+++ b/controlplane/tests/weights.rs
@@ -8,13 +8,15 @@
 use googletest::prelude::*;
 use gradepaddle_controlplane::Micros;
 use gradepaddle_controlplane::kinds::{self, WEIGHTS};
+use gradepaddle_controlplane::naming::{Naming, VersionTimes};
 use gradepaddle_controlplane::node::{Input, Node, NodeSetup, Output};
 use gradepaddle_controlplane::session::OwnSession;
-use gradepaddle_proto::{Content, Envelope};
+use gradepaddle_proto::{Content, Encode, Envelope};
 use gradepaddle_spread::{Aged, Message, Stamp};
 
 const MODEL: &str = "advisor";
 const WITHIN: Micros = 8 * SECOND;
+const IN_ALL: Micros = 14 * SECOND;
 
 /// A node without a disk.
 fn node() -> Node {
@@ -24,7 +26,7 @@
         founding: None,
         beat_every: 1_200 * MS,
         order_lease: 3 * SECOND,
-        version_within: WITHIN,
+        version_times: VersionTimes { within: WITHIN, in_all: Some(IN_ALL) },
         revoke_within: None,
         machine_losses: 1,
         now: 0,
@@ -40,8 +42,20 @@
 }
 
 /// Another node passes on that a version was named so many milliseconds ago, in its first or a later publication.
-fn learn(node: &mut Node, now: Micros, (version, publication): (u64, u64), age_ms: u32) -> Vec<Told> {
-    let item = kinds::item(WEIGHTS, MODEL, Stamp { major: version, minor: publication }, Vec::new());
+fn learn(node: &mut Node, now: Micros, name: (u64, u64), age_ms: u32) -> Vec<Told> {
+    learn_again(node, now, name, age_ms, 0)
+}
+
+/// The same of a publication so long after the naming.
+fn learn_again(
+    node: &mut Node,
+    now: Micros,
+    (version, publication): (u64, u64),
+    age_ms: u32,
+    named_before: Micros,
+) -> Vec<Told> {
+    let payload = if named_before > 0 { Naming { named_before }.to_bytes() } else { Vec::new() };
+    let item = kinds::item(WEIGHTS, MODEL, Stamp { major: version, minor: publication }, payload);
     let items = vec![Aged { item, age_ms }];
     let content = Content::Spread(Message::Push { items, confirm: false, repair: false });
     let mut out = Vec::new();
@@ -95,3 +109,25 @@
         elements_are![eq(&Told { version: 3, binds_at: 7 * SECOND + WITHIN, postponed: false })]
     );
 }
+
+/// A core that is unstable again and again lets the time begin anew, but not for ever.
+#[gtest]
+fn a_time_that_begins_anew_ends_at_the_bound_on_all_of_it() {
+    let mut node = node();
+    learn(&mut node, 0, (2, 0), 0);
+    // Published anew 5 s and 11 s after the naming; heard of half a second later.
+    for (publication, named_before, binds_at) in [(7, 5 * SECOND, 13 * SECOND), (8, 11 * SECOND, IN_ALL)] {
+        let told = learn_again(&mut node, named_before + 500 * MS, (2, publication), 500, named_before);
+        expect_that!(told, elements_are![eq(&Told { version: 2, binds_at, postponed: true })]);
+    }
+    // One that is heard of only after that binds at once.
+    let told = learn_again(&mut crate::node(), SECOND, (2, 9), 1_000, 30 * SECOND);
+    expect_that!(told, elements_are![eq(&Told { version: 2, binds_at: SECOND, postponed: false })]);
+}
+
+#[gtest]
+fn without_a_bound_on_all_of_it_the_time_begins_anew_as_often_as_needed() {
+    let times = VersionTimes { within: WITHIN, in_all: None };
+    expect_that!(times.binds_in(0, 600 * SECOND), eq(WITHIN));
+    expect_that!(times.binds_in(9 * SECOND, 9 * SECOND), eq(0));
+}
--- a/system/src/run.rs
+++ b/system/src/run.rs
@@ -17,6 +17,7 @@
 use gradepaddle_controlplane::driver::{Driver, DriverEvent, Ears};
 use gradepaddle_controlplane::founding::Founding;
 use gradepaddle_controlplane::links::{Links, serve_links};
+use gradepaddle_controlplane::naming::VersionTimes;
 use gradepaddle_controlplane::node::{Input, Node, NodeSetup};
 use gradepaddle_controlplane::session::OwnSession;
 use gradepaddle_dataplane::{
@@ -272,7 +273,10 @@
         founding: Founding::new(own, &seeds, losses, settings.first_boot, CLOCK_START),
         beat_every: micros(settings.beat_every),
         order_lease: micros(settings.bounds.lease),
-        version_within: micros(settings.bounds.version),
+        version_times: VersionTimes {
+            within: micros(settings.bounds.version),
+            in_all: Some(micros(settings.bounds.version_all)).filter(|bound| *bound > 0),
+        },
         revoke_within: settings
             .bounds
             .revoke_everywhere
