Tie evidence of keys to a configuration's version, and read changes in one way

Cause: found on reading the change once more. Evidence was told to the data plane without its version, so a node that could not read a newer configuration (another build) would have acted on keys of the older one.

--- a/controlplane/src/calls.rs
+++ b/controlplane/src/calls.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gradepaddle_config::{Configuration, Patch, fingerprint};
+use gradepaddle_config::{Configuration, Findings, Patch, fingerprint};
 use serde::{Deserialize, Serialize};
 
 use crate::Micros;
@@ -164,22 +164,19 @@
 
 fn patch_configuration(if_match: Option<&str>, body: &[u8]) -> Result<Call, Answer> {
     let if_match = base_version(if_match)?;
-    match Patch::parse(body) {
-        Ok(patch) => {
-            Ok(Call::PatchConfiguration { if_match, version: patch.version, patch: Arc::from(body) })
-        }
-        Err(findings) => Err(Answer::message(400, &findings.to_string())),
-    }
+    let patch = Patch::parse(body).map_err(refused)?;
+    Ok(Call::PatchConfiguration { if_match, version: patch.version, patch: Arc::from(body) })
 }
 
 fn put_configuration(if_match: Option<&str>, body: &[u8]) -> Result<Call, Answer> {
     let if_match = base_version(if_match)?;
-    match Configuration::parse(body) {
-        Ok(configuration) => {
-            Ok(Call::PutConfiguration { if_match, version: configuration.version, body: Arc::from(body) })
-        }
-        Err(findings) => Err(Answer::message(400, &findings.to_string())),
-    }
+    let configuration = Configuration::parse(body).map_err(refused)?;
+    Ok(Call::PutConfiguration { if_match, version: configuration.version, body: Arc::from(body) })
+}
+
+/// The answer to a body with findings.
+pub fn refused(findings: Findings) -> Answer {
+    Answer::message(400, &findings.to_string())
 }
 
 /// The fingerprint by which a configuration that is sent again is known, as a number.
--- a/controlplane/src/driver.rs
+++ b/controlplane/src/driver.rs
@@ -16,7 +16,7 @@
 use crate::calls::{Answer, Call};
 use crate::clock::Clock;
 use crate::links::Links;
-use crate::node::{Event, Input, MemberNode, Node, Output};
+use crate::node::{Event, Input, KeysShown, MemberNode, Node, Output};
 use crate::orders::{self, OrderPermit};
 use crate::rollout::Order;
 
@@ -55,8 +55,8 @@
     fn holds(&self, server: &str, model: &str, version: u64);
     /// The node has, or lacks, a session with control.
     fn in_touch(&self, in_touch: bool);
-    /// Until when, by the driver's clock, the keys of the configuration in force may be acted on.
-    fn keys_until(&self, until: Micros);
+    /// Until when, by the driver's clock, the keys of a configuration may be acted on.
+    fn keys(&self, shown: KeysShown);
     /// Something is worth a line in the log.
     fn event(&self, event: Event);
     /// Writes records to disk; the end of the write comes back as an event.
@@ -193,7 +193,7 @@
             Output::Order(order) => self.order(order),
             Output::Ask { server, address } => self.ask(server, address),
             Output::InTouch(in_touch) => self.effects.in_touch(in_touch),
-            Output::KeysUntil(until) => self.effects.keys_until(until),
+            Output::Keys(shown) => self.effects.keys(shown),
             Output::Event(event) => self.event(event),
             Output::MayEnd => self.effects.may_end(),
         }
--- a/controlplane/src/node.rs
+++ b/controlplane/src/node.rs
@@ -7,7 +7,7 @@
 mod serving;
 mod status;
 
-pub use messages::{Event, Input, MemberNode, Output};
+pub use messages::{Event, Input, KeysShown, MemberNode, Output};
 pub use status::Status;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -111,7 +111,7 @@
     leaving: bool,
     freshness: Freshness,
     /// What the data plane was told of its keys.
-    keys_until: Option<Micros>,
+    keys_shown: Option<KeysShown>,
     /// The next node that is asked for evidence besides the usual one.
     next_witness: usize,
     named: BTreeMap<String, u64>,
@@ -152,7 +152,7 @@
             machine_losses: setup.machine_losses,
             leaving: false,
             freshness: Freshness::new(setup.revoke_within, setup.now),
-            keys_until: None,
+            keys_shown: None,
             next_witness: 0,
             named: BTreeMap::new(),
             servers: BTreeMap::new(),
--- a/controlplane/src/node/control.rs
+++ b/controlplane/src/node/control.rs
@@ -10,7 +10,7 @@
 
 use super::{Asker, CALL_WITHIN, CALL_WITHIN_PER_BYTE, Confirming, Node, Output, Waiting};
 use crate::Micros;
-use crate::calls::{Answer, Call, fingerprint_number, patch_fingerprint_number};
+use crate::calls::{Answer, Call, fingerprint_number, patch_fingerprint_number, refused};
 use crate::kinds::{self, CONFIGURATION, CONFIGURATION_KEY, WEIGHTS};
 use crate::registry::Decision;
 
@@ -178,7 +178,7 @@
         let base = reading.state.configuration.as_ref().map_or(EMPTY, |known| &known.body);
         match apply_patch(patch, base) {
             Ok(body) => Ok(Change::PutConfiguration { if_match, version, body, fingerprint }),
-            Err(findings) => Err(Answer::message(400, &findings.to_string()).before(until)),
+            Err(findings) => Err(refused(findings).before(until)),
         }
     }
 
--- a/controlplane/src/node/freshness.rs
+++ b/controlplane/src/node/freshness.rs
@@ -4,7 +4,7 @@
 
 use gradepaddle_proto::{Content, NewestAsk, NewestTold};
 
-use super::{Node, Output};
+use super::{KeysShown, Node, Output};
 use crate::Micros;
 use crate::freshness::Newest;
 use crate::kinds::{CONFIGURATION, CONFIGURATION_KEY};
@@ -24,10 +24,10 @@
             }
         }
         let version = self.spread.stamp(CONFIGURATION, CONFIGURATION_KEY).map_or(0, |stamp| stamp.major);
-        let until = self.freshness.keys_until(version);
-        if let Some(moment) = until.filter(|_| until != self.keys_until) {
-            self.keys_until = until;
-            out.push(Output::KeysUntil(moment));
+        let shown = self.freshness.keys_until(version).map(|until| KeysShown { version, until });
+        if let Some(news) = shown.filter(|_| shown != self.keys_shown) {
+            self.keys_shown = shown;
+            out.push(Output::Keys(news));
         }
     }
 
--- a/controlplane/src/node/messages.rs
+++ b/controlplane/src/node/messages.rs
@@ -59,6 +59,15 @@
     Leaving,
 }
 
+/// That none of a configuration's keys has been taken away, as far as is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KeysShown {
+    /// The version of the configuration; older ones are not meant.
+    pub version: u64,
+    /// Until when, by the node's clock, that is good; 0 if nothing shows it.
+    pub until: Micros,
+}
+
 /// Another member of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberNode {
@@ -154,9 +163,8 @@
     },
     /// The node has, or lacks, a session with control.
     InTouch(bool),
-    /// Until when, by the node's clock, the keys of the configuration in force may be acted on. Never given where that
-    /// depends on nothing.
-    KeysUntil(Micros),
+    /// Until when the keys of a configuration may be acted on. Never given where that depends on nothing.
+    Keys(KeysShown),
     /// What is worth a line in the log.
     Event(Event),
     /// The control state is in other hands: the process may end.
--- a/controlplane/tests/fleet/world.rs
+++ b/controlplane/tests/fleet/world.rs
@@ -453,7 +453,7 @@
             Output::Peers(peers) => {
                 self.told(number, |told| told.peers = peers.into_iter().map(|peer| peer.address).collect())
             }
-            Output::KeysUntil(until) => self.told(number, |told| told.keys_until = until),
+            Output::Keys(shown) => self.told(number, |told| told.keys_until = shown.until),
             Output::InTouch(in_touch) => self.told(number, |told| told.in_touch = in_touch),
             Output::Order(order) => self.give_order(number, order),
             Output::Ask { server, .. } => {
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -23,5 +23,5 @@
 pub use feeds::{StoreWatch, is_to_tell};
 pub use load_sharing::{PassedOn, SharingCounters, hear_loads, tell_loads};
 pub use readiness::serve_readiness;
-pub use shared::{Counters, DataPlane, Phase, Setup};
+pub use shared::{Counters, DataPlane, KeyEvidence, Phase, Setup};
 pub use shutdown::{ShutdownTimes, shut_down};
--- a/dataplane/src/shared.rs
+++ b/dataplane/src/shared.rs
@@ -41,6 +41,15 @@
     pub log: Logger,
 }
 
+/// What shows that the keys of a configuration are good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyEvidence {
+    /// The version of the configuration, or a later one.
+    pub version: u64,
+    /// Until when (by [`DataPlane::now`]); 0 if nothing shows it yet.
+    pub until: Micros,
+}
+
 /// Counts since the start.
 #[derive(Debug, Default)]
 pub struct Counters {
@@ -83,8 +92,8 @@
     phase: watch::Sender<Phase>,
     open: Cell<usize>,
     has_control: Cell<bool>,
-    /// Until when keys may be acted on; none where that depends on nothing.
-    keys_until: Cell<Option<Micros>>,
+    /// What shows that keys are good; none where that needs nothing.
+    keys: Cell<Option<KeyEvidence>>,
     /// Whether they could be when that was last looked at, for the log.
     keys_lapsed: Cell<bool>,
     /// Told when there is other evidence of keys.
@@ -111,7 +120,7 @@
             phase: watch::Sender::new(Phase::Serving),
             open: Cell::new(0),
             has_control: Cell::new(false),
-            keys_until: Cell::new(None),
+            keys: Cell::new(None),
             keys_lapsed: Cell::new(false),
             keys_changed: watch::Sender::new(()),
             versions_changed: watch::Sender::new(()),
@@ -204,10 +213,10 @@
         self.has_control.set(has);
     }
 
-    /// Until when (by [`DataPlane::now`]) the keys of the configuration in force may be acted on: after that one of them
-    /// may have been taken away without word of it. Without this call they may be for ever.
-    pub fn set_keys_until(&self, until: Micros) {
-        self.keys_until.set(Some(until));
+    /// Until when keys may be acted on: after that one of them may have been taken away without word of it. Without this
+    /// call they may be for ever.
+    pub fn set_keys(&self, evidence: KeyEvidence) {
+        self.keys.set(Some(evidence));
         self.keys_changed.send_replace(());
         self.note_lapse();
     }
@@ -224,7 +233,7 @@
     pub(crate) async fn keys_shown_within(&self, span: Duration) {
         let mut changes = self.keys_changed.subscribe();
         let shown = async {
-            while self.keys_until.get() == Some(0) {
+            while self.keys.get().is_some_and(|evidence| evidence.until == 0) {
                 // The sender lives as long as this does.
                 drop(changes.changed().await);
             }
@@ -235,7 +244,10 @@
 
     /// True if it is not known whether keys are still good.
     pub(crate) fn keys_have_lapsed(&self) -> bool {
-        self.keys_until.get().is_some_and(|until| self.now() >= until)
+        let Some(evidence) = self.keys.get() else { return false };
+        // A configuration that this build could not read may be in force everywhere else.
+        let older = self.configuration.borrow().as_ref().is_some_and(|one| one.version < evidence.version);
+        older || self.now() >= evidence.until
     }
 
     /// True if new connections are welcome.
--- a/system/src/effects.rs
+++ b/system/src/effects.rs
@@ -8,10 +8,10 @@
 use gradepaddle_control::{Record, Token};
 use gradepaddle_controlplane::clock::Clock;
 use gradepaddle_controlplane::driver::Effects;
-use gradepaddle_controlplane::node::{Event, MemberNode};
+use gradepaddle_controlplane::node::{Event, KeysShown, MemberNode};
 use gradepaddle_controlplane::rollout::OrderAnswer;
-use gradepaddle_dataplane::DataPlane;
 use gradepaddle_dataplane::load_sharing::audience::Peer;
+use gradepaddle_dataplane::{DataPlane, KeyEvidence};
 use gradepaddle_engine::{Micros, ServerEntry, ServerState};
 use gradepaddle_store::Writer;
 use slog::{Logger, info, warn};
@@ -112,12 +112,13 @@
         info!(self.log, "control"; "in_touch" => in_touch);
     }
 
-    fn keys_until(&self, until: Micros) {
+    fn keys(&self, shown: KeysShown) {
         // In this order, so that a pause between the two shortens the span.
         let now = self.plane.now();
-        let span = until.saturating_sub(self.clock.now());
+        let span = shown.until.saturating_sub(self.clock.now());
         // 0 stands for no evidence at all, for which requests wait; what is over already is over.
-        self.plane.set_keys_until(if until == 0 { 0 } else { now + span });
+        let until = if shown.until == 0 { 0 } else { now + span };
+        self.plane.set_keys(KeyEvidence { version: shown.version, until });
     }
 
     fn event(&self, event: Event) {
