Hear what servers drop, tell all nodes what stores keep, and save beside moves

Servers' memories turn over in five seconds, 42% of them parts that only one request has; the store held 2.4 million tokens after 18 s, 56% of them such parts, and its link was full of saves. 81 of 91 nodes did not know what it keeps. What servers drop was heard by nobody, but asking them in vain is only a tenth of it. Change: one node listens to each server (highest weight by its id) and tells what it dropped; the first node tells what the store takes in and drops; a holder whose drops are told is believed, others by age. What is read beside a move is saved too; prompts that are mostly their own are saved only while saves arrive. A move is charged with a fifth of the reading for what it pushes out of the taker's memory.

--- a/dataplane/src/kept_feed.rs
+++ b/dataplane/src/kept_events/stores.rs
@@ -1,4 +1,4 @@
-//! What stores keep: each is asked for its events by calls that it holds until there are some.
+//! Stores' events, which tell what a store takes in and what it drops.
 //!
 //! A store holds only so many of these calls at once, so in a large fleet only some nodes listen; the others hear from
 //! them, by the control plane, whether it answers at all.
@@ -9,59 +9,21 @@
 use std::time::Duration;
 
 use gradepaddle_config::{Configuration, ServiceKind};
-use gradepaddle_engine::Kept;
-use gradepaddle_http::buffers::Pool;
-use gradepaddle_http::{Body, Connection, Framing};
-use serde::Deserialize;
-use tokio::net::TcpSocket;
-use tokio::time::{Instant, sleep, timeout};
+use gradepaddle_engine::{Kept, KeptChanges, KeptTokens, holder_hash, kept_key};
+use tokio::time::{Instant, sleep};
 
+use super::call::{Event, EventCalls, HeldPart};
+use super::feeds::{Source, StoreWatch, is_to_tell};
 use crate::admission::part_id;
-use crate::feeds::{Source, StoreWatch, is_to_tell};
 use crate::shared::DataPlane;
 
-/// A call is held for this long, in milliseconds, unless something happens.
-const WAIT_MS: u64 = 900;
-/// A call is answered within this, or its source is down.
-const ANSWER_WITHIN: Duration = Duration::from_millis(1300);
-const DIAL_WITHIN: Duration = Duration::from_millis(300);
 /// A source that did not answer is called again after this.
 const PAUSE: Duration = Duration::from_millis(400);
 /// After events have come, more are let gather for this long.
 const GATHER: Duration = Duration::from_millis(250);
-/// The longest answer that is read, in bytes.
-const ANSWER_BYTES: u64 = 8 * 1024 * 1024;
 /// Calls that a store holds at once are left to others beside those of the listening nodes.
 const CALLS_LEFT: usize = 2;
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Events {
-    epoch: u64,
-    next_token: u64,
-    #[serde(default)]
-    lost: bool,
-    #[serde(default)]
-    events: Vec<Event>,
-}
-
-/// Number, + or -, salt, part, tokens kept now, model.
-#[derive(Deserialize)]
-struct Event(#[expect(dead_code, reason = "position in the tuple")] u64, String, String, String, u32, String);
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Held {
-    epoch: u64,
-    next_token: u64,
-    #[serde(default)]
-    held: Vec<HeldPart>,
-}
-
-/// Salt, part, tokens, model.
-#[derive(Deserialize)]
-struct HeldPart(String, String, u32, String);
-
 impl DataPlane {
     /// Tells this node's place in an order of all nodes that all agree on.
     pub fn set_rank(self: &Rc<Self>, rank: usize) {
@@ -138,9 +100,8 @@
 impl Feed {
     async fn run(self) {
         loop {
-            let dialled = timeout(DIAL_WITHIN, dial(self.address, &self.plane.pool)).await;
-            if let Ok(Some(mut connection)) = dialled {
-                self.listen(&mut connection).await;
+            if let Some(mut calls) = EventCalls::dial(self.address, &self.plane.pool).await {
+                self.listen(&mut calls).await;
             }
             self.tell(false);
             let now = self.plane.now();
@@ -162,8 +123,8 @@
     }
 
     /// Takes in what a store keeps, and then what changes, until a call fails.
-    async fn listen(&self, connection: &mut Connection) -> Option<()> {
-        let held: Held = self.call(connection, "/v1/kv-list", None).await?;
+    async fn listen(&self, calls: &mut EventCalls<'_>) -> Option<()> {
+        let held = calls.held().await?;
         let (mut epoch, mut since) = (held.epoch, held.next_token);
         self.reset();
         for HeldPart(salt, part, tokens, model) in &held.held {
@@ -171,15 +132,16 @@
         }
         loop {
             self.tell(true);
-            let path = format!("/v1/kv-events?since={since}");
             let begun = Instant::now();
-            let events: Events = self.call(connection, &path, Some(WAIT_MS)).await?;
-            if events.epoch != epoch || events.lost {
+            let events = calls.events(since).await?;
+            let reset = events.epoch != epoch || events.lost;
+            if reset {
                 self.reset();
             }
             (epoch, since) = (events.epoch, events.next_token);
             let now = self.plane.now();
             self.plane.engine.borrow_mut().holder_heard(now, &self.name);
+            self.tell_changes(&events.events, reset);
             for Event(_, sign, salt, part, tokens, model) in &events.events {
                 match &**sign {
                     "+" => self.added(salt, part, *tokens, model),
@@ -190,6 +152,20 @@
         }
     }
 
+    /// Has nodes that do not listen told what changed, where this node is the one to tell.
+    fn tell_changes(&self, events: &[Event], reset: bool) {
+        if self.plane.feeds.rank.get() > 0 || (events.is_empty() && !reset) {
+            return;
+        }
+        let parts = events.iter().map(|Event(_, _, salt, part, tokens, _)| KeptTokens {
+            key: kept_key(salt, part_id(part)),
+            tokens: *tokens,
+        });
+        let holder = holder_hash(&self.name);
+        let changes = KeptChanges { holder, whole: true, everything: reset, parts: parts.collect() };
+        self.plane.engine.borrow_mut().tell_kept_changes(changes);
+    }
+
     fn reset(&self) {
         let now = self.plane.now();
         self.plane.engine.borrow_mut().kept_reset(now, &self.name);
@@ -206,32 +182,4 @@
         let now = self.plane.now();
         self.plane.engine.borrow_mut().kept_event(now, &self.name, kept);
     }
-
-    async fn call<T: for<'a> Deserialize<'a>>(
-        &self,
-        connection: &mut Connection,
-        path: &str,
-        wait_ms: Option<u64>,
-    ) -> Option<T> {
-        let (address, pool) = (self.address, &self.plane.pool);
-        let wait = wait_ms.map(|wait| format!("Wait-Ms: {wait}\r\n")).unwrap_or_default();
-        let mut request = pool.chain();
-        request.push(format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n{wait}\r\n").as_bytes());
-        let answer = async {
-            connection.write(&[&request]).await.ok()?;
-            let head = connection.read_head().await.ok()?;
-            let framing = head.framing(Framing::UntilClose).ok()?;
-            let mut body = Body::new_within(framing, ANSWER_BYTES).ok()?;
-            let mut bytes = pool.chain();
-            while !connection.read_piece(&mut body, &mut bytes, usize::MAX).await.ok()? {}
-            let bytes = bytes.copy(bytes.len());
-            (head.status() == Ok(200)).then(|| serde_json::from_slice(&bytes).ok())?
-        };
-        timeout(ANSWER_WITHIN, answer).await.ok()?
-    }
-}
-
-async fn dial(address: SocketAddrV4, pool: &Pool) -> Option<Connection> {
-    let stream = TcpSocket::new_v4().ok()?.connect(address.into()).await.ok()?;
-    Some(Connection::new(stream, pool, ()))
 }
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -9,8 +9,7 @@
 mod client;
 mod events;
 mod exchange;
-mod feeds;
-mod kept_feed;
+mod kept_events;
 pub mod load_sharing;
 mod readiness;
 mod relay;
@@ -20,7 +19,7 @@
 
 pub use client::serve_clients;
 pub use events::EventSplitter;
-pub use feeds::{StoreWatch, is_to_tell};
+pub use kept_events::{EventLog, KeptEvent, KeptEvents, StoreWatch, is_to_tell, listens};
 pub use load_sharing::{PassedOn, SharingCounters, hear_loads, tell_loads};
 pub use readiness::serve_readiness;
 pub use shared::{Counters, DataPlane, KeyEvidence, Phase, Setup};
--- a/dataplane/src/load_sharing/audience.rs
+++ b/dataplane/src/load_sharing/audience.rs
@@ -99,6 +99,11 @@
         self.known.contains(&address)
     }
 
+    /// All others, in a fixed order.
+    pub fn all(&self) -> &[SocketAddrV4] {
+        &self.all
+    }
+
     /// The others of this zone.
     pub fn neighbours(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
         self.near.iter().copied()
--- a/dataplane/src/load_sharing/content.rs
+++ b/dataplane/src/load_sharing/content.rs
@@ -2,11 +2,14 @@
 
 use std::collections::VecDeque;
 
-use gradepaddle_engine::{OwnLoad, Part, Sighting};
-use gradepaddle_proto::{KeptPrompt, LoadShare, PromptPart, ServerShare};
+use gradepaddle_engine::{KeptChanges, KeptTokens, OwnLoad, Part, Sighting};
+use gradepaddle_proto::{KeptPrompt, KeptReport, LoadShare, PromptPart, ServerShare};
 
 /// Prompts told in one message at most.
 const PROMPTS_MOST: usize = 96;
+/// Servers whose changes are told in one message at most, and parts of one of them.
+const HOLDERS_MOST: usize = 96;
+const CHANGED_PARTS_MOST: usize = 4_096;
 /// No balancer has more than this in flight at one server.
 const RUNNING_MOST: u32 = 100_000;
 /// No balancer has more than this to read at one server, in milliseconds: ten minutes.
@@ -14,25 +17,55 @@
 /// No prompt has more parts.
 const PARTS_MOST: usize = 256;
 
-/// What was seen kept in the last rounds: where not all others are told each time, each is told once in several.
-#[derive(Default)]
-pub(super) struct KeptWindow(VecDeque<Vec<KeptPrompt>>);
+/// What was new in the last rounds: where not all others are told each time, each is told once in several.
+pub(super) struct RecentRounds<T> {
+    rounds: VecDeque<Vec<T>>,
+    /// As much as one message holds.
+    most: usize,
+}
+
+impl<T: Clone> RecentRounds<T> {
+    fn new(most: usize) -> Self {
+        RecentRounds { rounds: VecDeque::new(), most }
+    }
 
-impl KeptWindow {
-    pub fn keep(&mut self, fresh: Vec<Sighting>, rounds: usize) {
-        let fresh = fresh.iter().take(PROMPTS_MOST).map(kept_prompt).collect();
-        self.0.push_back(fresh);
-        while self.0.len() > rounds {
-            self.0.pop_front();
+    /// Keeps what is new beside what others have not all been told yet.
+    pub fn keep(&mut self, fresh: impl Iterator<Item = T>, rounds: usize) {
+        self.rounds.push_back(fresh.take(self.most).collect());
+        while self.rounds.len() > rounds {
+            self.rounds.pop_front();
         }
     }
 
     /// The latest, as many as a message holds.
-    pub fn all(&self) -> Vec<KeptPrompt> {
-        self.0.iter().rev().flatten().take(PROMPTS_MOST).cloned().collect()
+    pub fn all(&self) -> Vec<T> {
+        self.rounds.iter().rev().flatten().take(self.most).cloned().collect()
     }
 }
 
+/// Prompts seen kept in the last rounds.
+pub(super) fn recent_prompts() -> RecentRounds<KeptPrompt> {
+    RecentRounds::new(PROMPTS_MOST)
+}
+
+/// What changed at holders in the last rounds.
+pub(super) fn recent_changes() -> RecentRounds<KeptReport> {
+    RecentRounds::new(HOLDERS_MOST)
+}
+
+pub(super) fn kept_report(changes: &KeptChanges) -> KeptReport {
+    let parts = changes.parts.iter().take(CHANGED_PARTS_MOST);
+    let KeptChanges { holder, whole, everything, .. } = *changes;
+    let parts = parts.map(|part| PromptPart { id: part.key, tokens: part.tokens }).collect();
+    KeptReport { holder, whole, everything, parts }
+}
+
+pub(super) fn kept_changes(report: &KeptReport) -> KeptChanges {
+    let parts = report.parts.iter().map(|part| KeptTokens { key: part.id, tokens: part.tokens });
+    let KeptReport { holder, whole, everything, .. } = *report;
+    KeptChanges { holder, whole, everything, parts: parts.collect() }
+}
+
 pub(super) fn share(load: OwnLoad) -> ServerShare {
     ServerShare {
         server: load.server,
@@ -51,7 +84,7 @@
     }
 }
 
-fn kept_prompt(sighting: &Sighting) -> KeptPrompt {
+pub(super) fn kept_prompt(sighting: &Sighting) -> KeptPrompt {
     let parts = sighting.parts.iter().map(|part| PromptPart { id: part.id, tokens: part.tokens });
     let Sighting { server, key, version, salt, .. } = *sighting;
     KeptPrompt { server, key, version, salt, parts: parts.collect() }
@@ -79,4 +112,6 @@
     message.servers.iter().all(possible)
         && message.kept.len() <= PROMPTS_MOST
         && message.kept.iter().all(|kept| kept.parts.len() <= PARTS_MOST)
+        && message.changes.len() <= HOLDERS_MOST
+        && message.changes.iter().all(|changes| changes.parts.len() <= CHANGED_PARTS_MOST)
 }
--- a/dataplane/src/load_sharing/mod.rs
+++ b/dataplane/src/load_sharing/mod.rs
@@ -14,14 +14,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gradepaddle_proto::{Decode, Encode, LoadShare, ServerShare};
+use gradepaddle_proto::{Decode, Encode, KeptPrompt, KeptReport, LoadShare, ServerShare};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::shared::{DataPlane, count};
 use audience::{Audience, Peer};
-use content::{KeptWindow, believable, own_load, same, share, sighting};
+use content::{
+    RecentRounds, believable, kept_changes, kept_prompt, kept_report, own_load, recent_changes,
+    recent_prompts, same, share, sighting,
+};
 
 /// Between two messages at least.
 const SPACING: Duration = Duration::from_millis(10);
@@ -55,6 +58,8 @@
 pub(crate) struct Sharing {
     audience: RefCell<Audience>,
     sequence: Cell<u64>,
+    /// Where other balancers reach this one, once its socket stands.
+    own_address: Cell<Option<SocketAddrV4>>,
     /// Told when a request was placed.
     placed: Notify,
     pub counters: SharingCounters,
@@ -66,6 +71,7 @@
         Sharing {
             audience: RefCell::new(Audience::new(zone)),
             sequence: Cell::new(0),
+            own_address: Cell::new(None),
             placed: Notify::new(),
             counters: SharingCounters::default(),
         }
@@ -76,6 +82,16 @@
         self.placed.notify_one();
     }
 
+    /// Where other balancers reach this one; none before it tells any.
+    pub fn own_address(&self) -> Option<SocketAddrV4> {
+        self.own_address.get()
+    }
+
+    /// Other balancers, in a fixed order.
+    pub fn peers(&self) -> Vec<SocketAddrV4> {
+        self.audience.borrow().all().to_vec()
+    }
+
     fn next_sequence(&self) -> u64 {
         self.sequence.set(self.sequence.get() + 1);
         self.sequence.get()
@@ -103,10 +119,10 @@
 }
 
 /// What others were told last.
-#[derive(Default)]
 struct LastTold {
     servers: Vec<ServerShare>,
-    kept: KeptWindow,
+    kept: RecentRounds<KeptPrompt>,
+    changes: RecentRounds<KeptReport>,
     /// Spans without a change.
     quiet: u32,
 }
@@ -114,7 +130,9 @@
 /// Tells others what this node has in flight, for as long as the process runs.
 pub async fn tell_loads(plane: Rc<DataPlane>, socket: Rc<UdpSocket>) {
     let Ok(SocketAddr::V4(own)) = socket.local_addr() else { return };
-    let mut last = LastTold::default();
+    plane.sharing.own_address.set(Some(own));
+    let mut last =
+        LastTold { servers: Vec::new(), kept: recent_prompts(), changes: recent_changes(), quiet: 0 };
     let mut told_at = Instant::now();
     loop {
         // Ready after either: a placement, or the span of what can wait.
@@ -129,14 +147,17 @@
     let now = plane.now();
     let servers: Vec<ServerShare> = plane.engine.borrow().own_loads(now).into_iter().map(share).collect();
     let fresh = plane.engine.borrow_mut().take_sightings();
+    let changed = plane.engine.borrow_mut().take_kept_changes();
+    let news = !fresh.is_empty() || !changed.is_empty();
     last.quiet += 1;
-    if same(&servers, &last.servers) && fresh.is_empty() && last.quiet < QUIET_SPANS {
+    if same(&servers, &last.servers) && !news && last.quiet < QUIET_SPANS {
         return;
     }
     last.quiet = 0;
     let sharing = &plane.sharing;
     let mut audience = sharing.audience.borrow_mut();
-    last.kept.keep(fresh, audience.rounds());
+    last.kept.keep(fresh.iter().map(kept_prompt), audience.rounds());
+    last.changes.keep(changed.iter().map(kept_report), audience.rounds());
     last.servers = servers;
     let message = LoadShare {
         sequence: sharing.next_sequence(),
@@ -144,6 +165,7 @@
         relay: false,
         servers: last.servers.clone(),
         kept: last.kept.all(),
+        changes: last.changes.all(),
     };
     let direct = message.to_bytes();
     let relayed = LoadShare { relay: true, ..message }.to_bytes();
@@ -214,6 +236,7 @@
     if taken {
         let seen: Vec<_> = message.kept.iter().map(sighting).collect();
         engine.peer_sightings(now, &seen);
+        message.changes.iter().for_each(|report| engine.peer_kept_changes(now, &kept_changes(report)));
     }
     taken
 }
--- a/dataplane/src/shared.rs
+++ b/dataplane/src/shared.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::feeds::Feeds;
+use crate::kept_events::Feeds;
 use crate::load_sharing::Sharing;
 use crate::upstream::Upstreams;
 
@@ -294,10 +294,11 @@
     }
 
     /// Housekeeping, about once a second.
-    pub fn sweep(&self) {
+    pub fn sweep(self: &Rc<Self>) {
         self.note_lapse();
         self.upstreams.sweep();
         self.sweep_stores();
+        self.update_server_feeds();
     }
 }
 
--- a/dataplane/tests/load_sharing.rs
+++ b/dataplane/tests/load_sharing.rs
@@ -151,6 +151,7 @@
         relay: false,
         servers: vec![share],
         kept: Vec::new(),
+        changes: Vec::new(),
     }
 }
 
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -10,11 +10,13 @@
 use crate::choice::{Pick, Terms, pick};
 use crate::fleet::{Fleet, STORES};
 use crate::kept::{Head, KeptIndex};
+use crate::kept_changes::{KeptChanges, kept_key};
 use crate::keys::{KeyTable, Member};
 use crate::moves::{Need, Source};
 use crate::prompt::{Salts, lone_salt, shared};
 use crate::sharing::Tellers;
 use crate::sightings::Sightings;
+use crate::sources::ReadPrompt;
 use crate::status::Counters;
 use crate::store::Store;
 use crate::version::Versions;
@@ -38,6 +40,7 @@
     pub(crate) attempts: HashMap<u64, Attempt>,
     pub(crate) tellers: Tellers,
     pub(crate) sightings: Sightings,
+    pub(crate) kept_changes: Vec<KeptChanges>,
     pub(crate) made: u64,
     pub(crate) warm: Vec<f32>,
     pub(crate) counters: Counters,
@@ -58,6 +61,7 @@
             attempts: HashMap::new(),
             tellers: Tellers::default(),
             sightings: Sightings::default(),
+            kept_changes: Vec::new(),
             made: 0,
             warm: Vec::new(),
             counters: Counters::default(),
@@ -194,11 +198,10 @@
             self.fleet.begin_move(now, source);
         }
         let reads = tokens - held.min(tokens) - source.map_or(0, |s| s.gains.min(tokens));
-        let save = if found && source.is_none_or(|source| source.gains == 0) {
-            self.save(now, terms.key, pick.version, reads, heads)
-        } else {
-            None
-        };
+        let last = shared(request).last().map_or(0, |part| kept_key(&salt, part.id));
+        let own = request.tokens_in.saturating_sub(tokens);
+        let prompt = ReadPrompt { shared: tokens, reads, own, last };
+        let save = if found { self.save(now, terms.key, pick.version, prompt, heads) } else { None };
         self.note(&pick, found, &source, save.is_some());
         let attempt =
             self.begin(now, service, server, request, &pick, reads, source, (terms.key, hash(&salt)));
--- a/engine/src/fleet.rs
+++ b/engine/src/fleet.rs
@@ -171,6 +171,12 @@
         self.hashes.get(&hash).copied()
     }
 
+    /// The store with this hash of its name.
+    pub(crate) fn store_by_hash(&self, name: u64) -> Option<u32> {
+        let at = self.stores.iter().position(|store| hash(&store.spec.name) == name)?;
+        Some(at as u32)
+    }
+
     /// The latest time that was heard of, for what is told without one.
     pub(crate) fn pass(&mut self, now: Micros) {
         self.balancers_since = self.balancers_since.max(now);
--- a/engine/src/holders.rs
+++ b/engine/src/holders.rs
@@ -5,6 +5,7 @@
 use crate::api::*;
 use crate::engine::Engine;
 use crate::fleet::STORES;
+use crate::kept_changes::kept_key;
 
 impl Engine {
     fn holder(&self, name: &str) -> Option<u32> {
@@ -27,7 +28,10 @@
         self.holder_heard(now, holder);
         let Some(at) = self.holder(holder) else { return };
         let (Kept::Added { salt, part, tokens, .. } | Kept::Dropped { salt, part, tokens, .. }) = event;
-        self.kept.set(now, at, hash(salt), part, tokens);
+        match at {
+            store if store < STORES => self.store_keeps(now, store, kept_key(salt, part), tokens),
+            server => self.kept.set(now, server, hash(salt), part, tokens),
+        }
     }
 
     /// A server or store restarted, or its events have a gap: nothing is known of what it keeps.
--- a/engine/src/moves.rs
+++ b/engine/src/moves.rs
@@ -14,6 +14,8 @@
 const BETWEEN_ZONES: f64 = 2.0;
 /// What a moved prompt is taken to cost beside what it takes: moves are priced, and hold up the source's others.
 const PRICE: f64 = 1.5;
+/// What a moved prompt pushes out of the taker's memory is read again in part: what that costs, by the moved one's reading.
+const DISPLACED: f64 = 0.2;
 /// A move is worth it from so many tokens on.
 pub(crate) const LEAST_TOKENS: u32 = 64;
 /// A move that would wait longer is not begun at the source.
@@ -39,7 +41,8 @@
 /// MissCost: reading the shared tokens anew, or fetching them if someone has them.
 pub(crate) fn miss_ms(spec: &ModelService, shared: u32, has_source: bool) -> f64 {
     let read = read_ms(shared);
-    let fetched = if has_source { PRICE * move_ms(spec, 0.0, shared) } else { f64::INFINITY };
+    let moved = PRICE * move_ms(spec, 0.0, shared) + DISPLACED * read;
+    let fetched = if has_source { moved } else { f64::INFINITY };
     read.min(fetched).max(1.0)
 }
 
--- a/engine/src/sources.rs
+++ b/engine/src/sources.rs
@@ -9,6 +9,27 @@
 
 /// Parts are saved again after this long if the store has not told of them.
 const SAVE_AGAIN: Micros = 5_000_000;
+/// A server sends a store the whole prompt, also what only its own request has. While saves don't arrive, since the store's
+/// link carries no more, those are left out where that is more than this many times the shared parts: a later one will do.
+const OWN_MOST: f64 = 2.0;
+
+/// A prompt that a server reads, in tokens.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReadPrompt {
+    /// Of the shared parts in all, and those of them that are neither kept there nor moved.
+    pub(crate) shared: u32,
+    pub(crate) reads: u32,
+    /// Of its own part.
+    pub(crate) own: u32,
+    /// The last shared part under its salt.
+    pub(crate) last: u64,
+}
+
+impl ReadPrompt {
+    fn is_mostly_own(&self) -> bool {
+        f64::from(self.own) > OWN_MOST * f64::from(self.shared)
+    }
+}
 
 impl Engine {
     /// Where the chosen server takes the shared parts from: one that is known to have them, else the key's store, one
@@ -47,20 +68,23 @@
         self.fleet.guess(now, Need { held: 0, ..need }, store)
     }
 
-    /// The store that gets the shared parts, if they are read anew and no store has them.
+    /// The store that gets the shared parts, if some are read anew and no store has them.
     pub(crate) fn save(
         &mut self,
         now: Micros,
         key: u64,
         version: Option<u64>,
-        reads: u32,
+        prompt: ReadPrompt,
         heads: &[(u64, Vec<Head>)],
     ) -> Option<u32> {
-        let version = version.filter(|_| reads >= LEAST_TOKENS)?;
+        let version = version.filter(|_| prompt.reads >= LEAST_TOKENS)?;
         let store = self.fleet.store_of(now, key)?;
+        if prompt.is_mostly_own() && !self.fleet.stores[store as usize].saves.arrive(now) {
+            return None;
+        }
         let same = heads.iter().find(|(of, _)| *of == version);
         let stored = same.into_iter().flat_map(|(_, heads)| heads).filter(|head| head.holder < STORES);
-        if stored.map(|head| head.tokens).max().unwrap_or(0) >= reads {
+        if stored.map(|head| head.tokens).max().unwrap_or(0) >= prompt.reads {
             return None;
         }
         let entry = self.keys.recall(key);
@@ -68,6 +92,7 @@
             return None;
         }
         entry.saved = Some((now, version));
+        self.fleet.stores[store as usize].saves.ordered(now, prompt.last);
         Some(store)
     }
 }
--- a/engine/src/store.rs
+++ b/engine/src/store.rs
@@ -1,6 +1,7 @@
 //! One store of kept parts as this node knows it.
 
 use crate::api::*;
+use crate::saves::Saves;
 
 /// A store is a source for this long after it was heard.
 pub(crate) const HEARD: Micros = 3_000_000;
@@ -15,11 +16,12 @@
     pub(crate) heard: Option<Micros>,
     failed_until: Micros,
     pub(crate) moving_until: Micros,
+    pub(crate) saves: Saves,
 }
 
 impl Store {
     pub(crate) fn new(spec: StoreService, zone: u16) -> Store {
-        Store { spec, zone, heard: None, failed_until: 0, moving_until: 0 }
+        Store { spec, zone, heard: None, failed_until: 0, moving_until: 0, saves: Saves::default() }
     }
 
     pub(crate) fn usable(&self, now: Micros) -> bool {
--- a/proto/src/load.rs
+++ b/proto/src/load.rs
@@ -41,6 +41,19 @@
     pub parts: Vec<PromptPart>,
 }
 
+/// What changed in a holder's memory since it was last heard.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct KeptReport {
+    /// A hash of the id of a server or the name of a store.
+    pub holder: u64,
+    /// Nothing else was dropped.
+    pub whole: bool,
+    /// Nothing that it kept before is left.
+    pub everything: bool,
+    /// Parts, each by the key that it has under its salt, with the tokens that are kept now.
+    pub parts: Vec<PromptPart>,
+}
+
 /// What one node has in flight at all servers; servers that are left out have nothing of it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LoadShare {
@@ -54,6 +67,8 @@
     pub servers: Vec<ServerShare>,
     /// What it has seen kept since its last message.
     pub kept: Vec<KeptPrompt>,
+    /// What has changed since then at holders that it listens to.
+    pub changes: Vec<KeptReport>,
 }
 
 impl Encode for ServerShare {
@@ -111,6 +126,26 @@
     }
 }
 
+impl Encode for KeptReport {
+    fn encode(&self, to: &mut FieldWriter) {
+        to.number(1, self.holder);
+        to.truth(2, self.everything);
+        to.messages(3, &self.parts);
+        to.truth(4, self.whole);
+    }
+}
+
+impl Decode for KeptReport {
+    fn decode(fields: &Fields<'_>) -> Result<Self, DecodeError> {
+        Ok(KeptReport {
+            holder: fields.number(1),
+            whole: fields.truth(4),
+            everything: fields.truth(2),
+            parts: fields.messages(3)?,
+        })
+    }
+}
+
 impl Encode for LoadShare {
     fn encode(&self, to: &mut FieldWriter) {
         to.number(1, self.sequence);
@@ -120,6 +155,7 @@
             to.address(4, origin);
         }
         to.truth(5, self.relay);
+        to.messages(6, &self.changes);
     }
 }
 
@@ -131,6 +167,7 @@
             relay: fields.truth(5),
             servers: fields.messages(2)?,
             kept: fields.messages(3)?,
+            changes: fields.messages(6)?,
         })
     }
 }
--- a/proto/tests/common/mod.rs
+++ b/proto/tests/common/mod.rs
@@ -10,9 +10,9 @@
     Message, Position, Record, ReplicaId, StoredConfiguration, View,
 };
 use gradepaddle_proto::{
-    Content, ControlCall, Encode, Envelope, FieldWriter, Forward, Forwarded, Identity, KeptPrompt, LoadShare,
-    NewestAsk, NewestTold, PromptPart, Registration, ServerShare, SessionBeat, SessionGrant, ViewSummary,
-    Weights,
+    Content, ControlCall, Encode, Envelope, FieldWriter, Forward, Forwarded, Identity, KeptPrompt,
+    KeptReport, LoadShare, NewestAsk, NewestTold, PromptPart, Registration, ServerShare, SessionBeat,
+    SessionGrant, ViewSummary, Weights,
 };
 use gradepaddle_spread::{Aged, Entry, Item, Kind, RangeDigest, RangeEntries, Stamp};
 use proptest::collection::vec;
@@ -345,17 +345,26 @@
         running,
         tokens,
     });
-    (number(), option::of(address()), any::<bool>(), vec(share, 0..6), vec(kept_prompt(), 0..3))
-        .prop_map(|(sequence, origin, relay, servers, kept)| LoadShare {
+    let changes = vec(kept_report(), 0..3);
+    (number(), option::of(address()), any::<bool>(), vec(share, 0..6), vec(kept_prompt(), 0..3), changes)
+        .prop_map(|(sequence, origin, relay, servers, kept, changes)| LoadShare {
             sequence,
             origin,
             relay,
             servers,
             kept,
+            changes,
         })
         .boxed()
 }
 
+pub fn kept_report() -> BoxedStrategy<KeptReport> {
+    let parts = vec((number(), any::<u32>()).prop_map(|(id, tokens)| PromptPart { id, tokens }), 0..5);
+    (number(), any::<bool>(), any::<bool>(), parts)
+        .prop_map(|(holder, whole, everything, parts)| KeptReport { holder, whole, everything, parts })
+        .boxed()
+}
+
 pub fn kept_prompt() -> BoxedStrategy<KeptPrompt> {
     let part = (number(), any::<u32>()).prop_map(|(id, tokens)| PromptPart { id, tokens });
     (number(), number(), number(), number(), vec(part, 0..5))
