--- a/dataplane/src/kept_events/call.rs
+++ b/dataplane/src/kept_events/call.rs
@@ -1,4 +1,4 @@
-//! Calls for the events of a store or server, and for the list of what it keeps.
+//! Calls for the events of a store, and for the list of what it keeps.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -18,10 +18,10 @@
 const ANSWER_BYTES: u64 = 8 * 1024 * 1024;
 
 /// What changed since the event that was asked from.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub struct Events {
-    /// Another one after each restart of the holder.
+pub(super) struct Events {
+    /// Another one after each restart of the store.
     pub epoch: u64,
     /// The event to ask from next.
     pub next_token: u64,
@@ -34,10 +34,17 @@
 }
 
 /// Number, + or -, salt, part, tokens kept now, model.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Event(pub u64, pub String, pub String, pub String, pub u32, pub String);
+#[derive(Deserialize)]
+pub(super) struct Event(
+    #[expect(dead_code, reason = "position in the tuple")] pub u64,
+    pub String,
+    pub String,
+    pub String,
+    pub u32,
+    pub String,
+);
 
-/// What a holder keeps at this moment.
+/// What a store keeps at this moment.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub(super) struct Held {
@@ -51,7 +58,7 @@
 #[derive(Deserialize)]
 pub(super) struct HeldPart(pub String, pub String, pub u32, pub String);
 
-/// A connection to a holder for such calls.
+/// A connection to a store for such calls.
 pub(super) struct EventCalls<'a> {
     address: SocketAddrV4,
     connection: Connection,
--- a/dataplane/src/kept_events/feeds.rs
+++ b/dataplane/src/kept_events/feeds.rs
@@ -1,11 +1,10 @@
-//! What is kept in mind of the stores and servers that this node listens to.
+//! What is kept in mind of the stores that this node listens to.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
-use gradepaddle_engine::KeepingServer;
 use tokio::task::JoinHandle;
 
 /// Told whether a store answers, whenever that changes.
@@ -14,10 +13,7 @@
 /// A store by name and address.
 pub(crate) type Source = (Arc<str>, SocketAddrV4);
 
-/// Other balancers, and the servers that one of all has to listen to.
-pub(crate) type ServerView = (Vec<SocketAddrV4>, Vec<KeepingServer>);
-
-/// The stores and servers that this node listens to.
+/// The stores that this node listens to.
 #[derive(Default)]
 pub(crate) struct Feeds {
     pub running: RefCell<HashMap<Source, JoinHandle<()>>>,
@@ -26,11 +22,6 @@
     /// Stores of which others told that they answer.
     pub told_alive: RefCell<HashMap<Arc<str>, bool>>,
     pub watch: RefCell<Option<StoreWatch>>,
-    /// Servers that are listened to.
-    pub servers: RefCell<HashMap<KeepingServer, JoinHandle<()>>>,
-    /// What was known at the last look, and when servers were last shared out.
-    pub server_view: RefCell<Option<ServerView>>,
-    pub listened_view: RefCell<Option<ServerView>>,
 }
 
 /// Whether a node of this rank has to tell all others that a store answers or doesn't: the first one, whenever something
--- a/dataplane/src/kept_events/stores.rs
+++ b/dataplane/src/kept_events/stores.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use gradepaddle_config::{Configuration, ServiceKind};
-use gradepaddle_engine::{Kept, KeptChanges, KeptTokens, holder_hash, kept_key};
+use gradepaddle_engine::{Kept, KeptTokens, StoreChanges, holder_hash, kept_key};
 use tokio::time::{Instant, sleep};
 
 use super::call::{Event, EventCalls, HeldPart};
@@ -161,9 +161,8 @@
             key: kept_key(salt, part_id(part)),
             tokens: *tokens,
         });
-        let holder = holder_hash(&self.name);
-        let changes = KeptChanges { holder, whole: true, everything: reset, parts: parts.collect() };
-        self.plane.engine.borrow_mut().tell_kept_changes(changes);
+        let changes = StoreChanges { store: holder_hash(&self.name), reset, parts: parts.collect() };
+        self.plane.engine.borrow_mut().tell_store_changes(changes);
     }
 
     fn reset(&self) {
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use client::serve_clients;
 pub use events::EventSplitter;
-pub use kept_events::{EventLog, KeptEvent, KeptEvents, StoreWatch, is_to_tell, listens};
+pub use kept_events::{StoreWatch, is_to_tell};
 pub use load_sharing::{PassedOn, SharingCounters, hear_loads, tell_loads};
 pub use readiness::serve_readiness;
 pub use shared::{Counters, DataPlane, KeyEvidence, Phase, Setup};
--- a/dataplane/src/load_sharing/audience.rs
+++ b/dataplane/src/load_sharing/audience.rs
@@ -99,11 +99,6 @@
         self.known.contains(&address)
     }
 
-    /// All others, in a fixed order.
-    pub fn all(&self) -> &[SocketAddrV4] {
-        &self.all
-    }
-
     /// The others of this zone.
     pub fn neighbours(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
         self.near.iter().copied()
--- a/dataplane/src/load_sharing/content.rs
+++ b/dataplane/src/load_sharing/content.rs
@@ -2,13 +2,13 @@
 
 use std::collections::VecDeque;
 
-use gradepaddle_engine::{KeptChanges, KeptTokens, OwnLoad, Part, Sighting};
-use gradepaddle_proto::{KeptPrompt, KeptReport, LoadShare, PromptPart, ServerShare};
+use gradepaddle_engine::{KeptTokens, OwnLoad, Part, Sighting, StoreChanges};
+use gradepaddle_proto::{KeptPrompt, LoadShare, PromptPart, ServerShare, StoreReport};
 
 /// Prompts told in one message at most.
 const PROMPTS_MOST: usize = 96;
 /// Servers whose changes are told in one message at most, and parts of one of them.
-const HOLDERS_MOST: usize = 96;
+const STORE_REPORTS_MOST: usize = 96;
 const CHANGED_PARTS_MOST: usize = 4_096;
 /// No balancer has more than this in flight at one server.
 const RUNNING_MOST: u32 = 100_000;
@@ -48,22 +48,22 @@
     RecentRounds::new(PROMPTS_MOST)
 }
 
-/// What changed at holders in the last rounds.
-pub(super) fn recent_changes() -> RecentRounds<KeptReport> {
-    RecentRounds::new(HOLDERS_MOST)
+/// What changed at stores in the last rounds.
+pub(super) fn recent_changes() -> RecentRounds<StoreReport> {
+    RecentRounds::new(STORE_REPORTS_MOST)
 }
 
-pub(super) fn kept_report(changes: &KeptChanges) -> KeptReport {
+pub(super) fn store_report(changes: &StoreChanges) -> StoreReport {
     let parts = changes.parts.iter().take(CHANGED_PARTS_MOST);
-    let KeptChanges { holder, whole, everything, .. } = *changes;
+    let StoreChanges { store, reset, .. } = *changes;
     let parts = parts.map(|part| PromptPart { id: part.key, tokens: part.tokens }).collect();
-    KeptReport { holder, whole, everything, parts }
+    StoreReport { store, reset, parts }
 }
 
-pub(super) fn kept_changes(report: &KeptReport) -> KeptChanges {
+pub(super) fn store_changes(report: &StoreReport) -> StoreChanges {
     let parts = report.parts.iter().map(|part| KeptTokens { key: part.id, tokens: part.tokens });
-    let KeptReport { holder, whole, everything, .. } = *report;
-    KeptChanges { holder, whole, everything, parts: parts.collect() }
+    let StoreReport { store, reset, .. } = *report;
+    StoreChanges { store, reset, parts: parts.collect() }
 }
 
 pub(super) fn share(load: OwnLoad) -> ServerShare {
@@ -112,6 +112,6 @@
     message.servers.iter().all(possible)
         && message.kept.len() <= PROMPTS_MOST
         && message.kept.iter().all(|kept| kept.parts.len() <= PARTS_MOST)
-        && message.changes.len() <= HOLDERS_MOST
+        && message.changes.len() <= STORE_REPORTS_MOST
         && message.changes.iter().all(|changes| changes.parts.len() <= CHANGED_PARTS_MOST)
 }
--- a/dataplane/src/load_sharing/mod.rs
+++ b/dataplane/src/load_sharing/mod.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gradepaddle_proto::{Decode, Encode, KeptPrompt, KeptReport, LoadShare, ServerShare};
+use gradepaddle_proto::{Decode, Encode, KeptPrompt, LoadShare, ServerShare, StoreReport};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
@@ -22,8 +22,8 @@
 use crate::shared::{DataPlane, count};
 use audience::{Audience, Peer};
 use content::{
-    RecentRounds, believable, kept_changes, kept_prompt, kept_report, own_load, recent_changes,
-    recent_prompts, same, share, sighting,
+    RecentRounds, believable, kept_prompt, own_load, recent_changes, recent_prompts, same, share, sighting,
+    store_changes, store_report,
 };
 
 /// Between two messages at least.
@@ -58,8 +58,6 @@
 pub(crate) struct Sharing {
     audience: RefCell<Audience>,
     sequence: Cell<u64>,
-    /// Where other balancers reach this one, once its socket stands.
-    own_address: Cell<Option<SocketAddrV4>>,
     /// Told when a request was placed.
     placed: Notify,
     pub counters: SharingCounters,
@@ -71,7 +69,6 @@
         Sharing {
             audience: RefCell::new(Audience::new(zone)),
             sequence: Cell::new(0),
-            own_address: Cell::new(None),
             placed: Notify::new(),
             counters: SharingCounters::default(),
         }
@@ -82,16 +79,6 @@
         self.placed.notify_one();
     }
 
-    /// Where other balancers reach this one; none before it tells any.
-    pub fn own_address(&self) -> Option<SocketAddrV4> {
-        self.own_address.get()
-    }
-
-    /// Other balancers, in a fixed order.
-    pub fn peers(&self) -> Vec<SocketAddrV4> {
-        self.audience.borrow().all().to_vec()
-    }
-
     fn next_sequence(&self) -> u64 {
         self.sequence.set(self.sequence.get() + 1);
         self.sequence.get()
@@ -122,7 +109,7 @@
 struct LastTold {
     servers: Vec<ServerShare>,
     kept: RecentRounds<KeptPrompt>,
-    changes: RecentRounds<KeptReport>,
+    changes: RecentRounds<StoreReport>,
     /// Spans without a change.
     quiet: u32,
 }
@@ -130,7 +117,6 @@
 /// Tells others what this node has in flight, for as long as the process runs.
 pub async fn tell_loads(plane: Rc<DataPlane>, socket: Rc<UdpSocket>) {
     let Ok(SocketAddr::V4(own)) = socket.local_addr() else { return };
-    plane.sharing.own_address.set(Some(own));
     let mut last =
         LastTold { servers: Vec::new(), kept: recent_prompts(), changes: recent_changes(), quiet: 0 };
     let mut told_at = Instant::now();
@@ -147,7 +133,7 @@
     let now = plane.now();
     let servers: Vec<ServerShare> = plane.engine.borrow().own_loads(now).into_iter().map(share).collect();
     let fresh = plane.engine.borrow_mut().take_sightings();
-    let changed = plane.engine.borrow_mut().take_kept_changes();
+    let changed = plane.engine.borrow_mut().take_store_changes();
     let news = !fresh.is_empty() || !changed.is_empty();
     last.quiet += 1;
     if same(&servers, &last.servers) && !news && last.quiet < QUIET_SPANS {
@@ -157,7 +143,7 @@
     let sharing = &plane.sharing;
     let mut audience = sharing.audience.borrow_mut();
     last.kept.keep(fresh.iter().map(kept_prompt), audience.rounds());
-    last.changes.keep(changed.iter().map(kept_report), audience.rounds());
+    last.changes.keep(changed.iter().map(store_report), audience.rounds());
     last.servers = servers;
     let message = LoadShare {
         sequence: sharing.next_sequence(),
@@ -236,7 +222,7 @@
     if taken {
         let seen: Vec<_> = message.kept.iter().map(sighting).collect();
         engine.peer_sightings(now, &seen);
-        message.changes.iter().for_each(|report| engine.peer_kept_changes(now, &kept_changes(report)));
+        message.changes.iter().for_each(|report| engine.peer_store_changes(now, &store_changes(report)));
     }
     taken
 }
--- a/dataplane/src/shared.rs
+++ b/dataplane/src/shared.rs
@@ -294,11 +294,10 @@
     }
 
     /// Housekeeping, about once a second.
-    pub fn sweep(self: &Rc<Self>) {
+    pub fn sweep(&self) {
         self.note_lapse();
         self.upstreams.sweep();
         self.sweep_stores();
-        self.update_server_feeds();
     }
 }
 
--- a/dataplane/tests/common/servers.rs
+++ b/dataplane/tests/common/servers.rs
@@ -164,9 +164,7 @@
                 stage.connections.set(stage.connections.get() - 1);
                 vec![Step::Bytes(b"marked".to_vec()), Step::Close]
             } else {
-                // Calls of the protocol itself name no server; requests of clients do.
-                let named = (!arrival.target.starts_with("/v1/kv-")).then_some(&*self.server);
-                expect_that!(arrival.field("X-Target-Server"), eq(named), "{arrival:?}");
+                expect_that!(arrival.field("X-Target-Server"), some(eq(&*self.server)), "{arrival:?}");
                 expect_that!(arrival.all("X-Api-Key"), is_empty(), "{arrival:?}");
                 expect_that!(arrival.all("X-Not-Run"), is_empty(), "{arrival:?}");
                 stage.note(|stage| stage.arrivals.borrow_mut().push(arrival.clone()));
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -10,7 +10,7 @@
 use crate::choice::{Pick, Terms, pick};
 use crate::fleet::{Fleet, STORES};
 use crate::kept::{Head, KeptIndex};
-use crate::kept_changes::{KeptChanges, kept_key};
+use crate::kept_changes::{StoreChanges, kept_key};
 use crate::keys::{KeyTable, Member};
 use crate::moves::{Need, Source};
 use crate::prompt::{Salts, lone_salt, shared};
@@ -40,7 +40,7 @@
     pub(crate) attempts: HashMap<u64, Attempt>,
     pub(crate) tellers: Tellers,
     pub(crate) sightings: Sightings,
-    pub(crate) kept_changes: Vec<KeptChanges>,
+    pub(crate) store_changes: Vec<StoreChanges>,
     pub(crate) made: u64,
     pub(crate) warm: Vec<f32>,
     pub(crate) counters: Counters,
@@ -61,7 +61,7 @@
             attempts: HashMap::new(),
             tellers: Tellers::default(),
             sightings: Sightings::default(),
-            kept_changes: Vec::new(),
+            store_changes: Vec::new(),
             made: 0,
             warm: Vec::new(),
             counters: Counters::default(),
--- a/engine/src/kept.rs
+++ b/engine/src/kept.rs
@@ -22,10 +22,6 @@
 const KEPT_TO: f32 = 0.8;
 /// What is still believed of a part that should be gone.
 const LEAST_TRUST: f32 = 0.05;
-/// A holder whose drops were told within this is believed to keep what it was not said to drop, in milliseconds.
-const DROPS_KNOWN_MS: u32 = 2_500;
-/// A drop is older than a use of the same part by no more than this, in milliseconds: events come late, and are passed on.
-const DROP_DELAY_MS: u32 = 700;
 const MICROS_PER_MS: Micros = 1_000;
 
 #[derive(Clone, Copy, Debug)]
@@ -104,8 +100,6 @@
     room: u64,
     /// How long it keeps what isn't used, in milliseconds; none as long as nothing had to make room.
     retention_ms: Option<f32>,
-    /// When it was last told what it drops, in milliseconds.
-    drops_told_ms: Option<u32>,
 }
 
 impl Holder {
@@ -117,10 +111,7 @@
     }
 
     /// How far a part that was last used so long ago is believed to be there still.
-    fn trust(&self, now_ms: u32, unused_ms: u32) -> f32 {
-        if self.drops_told_ms.is_some_and(|told| now_ms.saturating_sub(told) < DROPS_KNOWN_MS) {
-            return 1.0;
-        }
+    fn trust(&self, unused_ms: u32) -> f32 {
         let Some(retention) = self.retention_ms else { return 1.0 };
         let share = unused_ms as f32 / retention.max(1.0);
         ((KEPT_TO - share) / (KEPT_TO - KEPT_FROM)).clamp(LEAST_TRUST, 1.0)
@@ -132,7 +123,7 @@
 pub(crate) struct Head {
     pub(crate) holder: u32,
     pub(crate) tokens: u32,
-    /// How far it is believed to have them still, where nobody hears what it drops.
+    /// How far it is believed to have them still: a server drops without a word what was unused for long.
     pub(crate) trust: f32,
 }
 
@@ -293,32 +284,12 @@
         self.holders[holder as usize] = Holder { room, ..Holder::default() };
     }
 
-    fn trust(&self, holder: u32, now_ms: u32, unused_ms: u32) -> f32 {
+    fn trust(&self, holder: u32, unused_ms: u32) -> f32 {
         // Stores tell what they drop.
         if holder < STORES {
             return 1.0;
         }
-        self.holders.get(holder as usize).map_or(1.0, |holder| holder.trust(now_ms, unused_ms))
-    }
-
-    /// What a holder drops is told, up to this time.
-    pub(crate) fn drops_told(&mut self, now: Micros, holder: u32) {
-        self.holder(holder).drops_told_ms = Some(milliseconds(now));
-    }
-
-    /// A holder keeps only so many tokens of the part with this key any more. A part that was used there since is kept.
-    pub(crate) fn dropped(&mut self, now: Micros, holder: u32, key: u64, tokens: u32) {
-        let Some(hold) = self.places.get_mut(&key).and_then(|holds| holds.find_mut(holder)) else { return };
-        let unused_ms = milliseconds(now).saturating_sub(hold.used_ms);
-        if unused_ms < DROP_DELAY_MS || tokens >= hold.tokens {
-            return;
-        }
-        if tokens == 0 {
-            self.remove(holder, key);
-            return self.holders[holder as usize].learn_retention(unused_ms);
-        }
-        let was = std::mem::replace(&mut hold.tokens, tokens);
-        self.holders[holder as usize].tokens -= u64::from(was - tokens);
+        self.holders.get(holder as usize).map_or(1.0, |holder| holder.trust(unused_ms))
     }
 
     fn chain(&self, salt: u64, parts: &[Part]) -> Vec<Option<&Holds>> {
@@ -347,8 +318,7 @@
         let now_ms = milliseconds(now);
         let head = |holder| {
             let (tokens, used_ms) = kept_of(holder, parts, &chain);
-            let unused_ms = now_ms.saturating_sub(used_ms);
-            Head { holder, tokens, trust: self.trust(holder, now_ms, unused_ms) }
+            Head { holder, tokens, trust: self.trust(holder, now_ms.saturating_sub(used_ms)) }
         };
         holders.into_iter().map(head).filter(|head| head.tokens > 0).collect()
     }
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -32,7 +32,7 @@
 pub use api::*;
 pub use budget::RetryBudget;
 pub use engine::Engine;
-pub use kept_changes::{KeepingServer, KeptChanges, KeptTokens, holder_hash, kept_key};
+pub use kept_changes::{KeptTokens, StoreChanges, holder_hash, kept_key};
 pub use sharing::OwnLoad;
 pub use sightings::Sighting;
 pub use status::{Counters, ServerStatus};
--- a/proto/src/lib.rs
+++ b/proto/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use envelope::{Content, Envelope};
 pub use fields::{Decode, DecodeError, Encode, FieldWriter, Fields};
-pub use load::{KeptPrompt, KeptReport, LoadShare, PromptPart, ServerShare};
+pub use load::{KeptPrompt, LoadShare, PromptPart, ServerShare, StoreReport};
 pub use node::{
     ControlCall, Forward, Forwarded, Identity, NewestAsk, NewestTold, SessionBeat, SessionGrant, ViewSummary,
 };
--- a/proto/src/load.rs
+++ b/proto/src/load.rs
@@ -41,15 +41,13 @@
     pub parts: Vec<PromptPart>,
 }
 
-/// What changed in a holder's memory since it was last heard.
+/// What changed in a store since it was last told.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct KeptReport {
-    /// A hash of the id of a server or the name of a store.
-    pub holder: u64,
-    /// Nothing else was dropped.
-    pub whole: bool,
-    /// Nothing that it kept before is left.
-    pub everything: bool,
+pub struct StoreReport {
+    /// A hash of its name.
+    pub store: u64,
+    /// Nothing that it kept before is known to be left.
+    pub reset: bool,
     /// Parts, each by the key that it has under its salt, with the tokens that are kept now.
     pub parts: Vec<PromptPart>,
 }
@@ -67,8 +65,8 @@
     pub servers: Vec<ServerShare>,
     /// What it has seen kept since its last message.
     pub kept: Vec<KeptPrompt>,
-    /// What has changed since then at holders that it listens to.
-    pub changes: Vec<KeptReport>,
+    /// What has changed since then at stores that it listens to.
+    pub changes: Vec<StoreReport>,
 }
 
 impl Encode for ServerShare {
@@ -126,23 +124,17 @@
     }
 }
 
-impl Encode for KeptReport {
+impl Encode for StoreReport {
     fn encode(&self, to: &mut FieldWriter) {
-        to.number(1, self.holder);
-        to.truth(2, self.everything);
+        to.number(1, self.store);
+        to.truth(2, self.reset);
         to.messages(3, &self.parts);
-        to.truth(4, self.whole);
     }
 }
 
-impl Decode for KeptReport {
+impl Decode for StoreReport {
     fn decode(fields: &Fields<'_>) -> Result<Self, DecodeError> {
-        Ok(KeptReport {
-            holder: fields.number(1),
-            whole: fields.truth(4),
-            everything: fields.truth(2),
-            parts: fields.messages(3)?,
-        })
+        Ok(StoreReport { store: fields.number(1), reset: fields.truth(2), parts: fields.messages(3)? })
     }
 }
 
--- a/proto/tests/common/mod.rs
+++ b/proto/tests/common/mod.rs
@@ -10,9 +10,9 @@
     Message, Position, Record, ReplicaId, StoredConfiguration, View,
 };
 use gradepaddle_proto::{
-    Content, ControlCall, Encode, Envelope, FieldWriter, Forward, Forwarded, Identity, KeptPrompt,
-    KeptReport, LoadShare, NewestAsk, NewestTold, PromptPart, Registration, ServerShare, SessionBeat,
-    SessionGrant, ViewSummary, Weights,
+    Content, ControlCall, Encode, Envelope, FieldWriter, Forward, Forwarded, Identity, KeptPrompt, LoadShare,
+    NewestAsk, NewestTold, PromptPart, Registration, ServerShare, SessionBeat, SessionGrant, StoreReport,
+    ViewSummary, Weights,
 };
 use gradepaddle_spread::{Aged, Entry, Item, Kind, RangeDigest, RangeEntries, Stamp};
 use proptest::collection::vec;
@@ -345,7 +345,7 @@
         running,
         tokens,
     });
-    let changes = vec(kept_report(), 0..3);
+    let changes = vec(store_report(), 0..3);
     (number(), option::of(address()), any::<bool>(), vec(share, 0..6), vec(kept_prompt(), 0..3), changes)
         .prop_map(|(sequence, origin, relay, servers, kept, changes)| LoadShare {
             sequence,
@@ -358,10 +358,10 @@
         .boxed()
 }
 
-pub fn kept_report() -> BoxedStrategy<KeptReport> {
+pub fn store_report() -> BoxedStrategy<StoreReport> {
     let parts = vec((number(), any::<u32>()).prop_map(|(id, tokens)| PromptPart { id, tokens }), 0..5);
-    (number(), any::<bool>(), any::<bool>(), parts)
-        .prop_map(|(holder, whole, everything, parts)| KeptReport { holder, whole, everything, parts })
+    (number(), any::<bool>(), parts)
+        .prop_map(|(store, reset, parts)| StoreReport { store, reset, parts })
         .boxed()
 }
 
