Tell news of stores in the order in which it came, in reports that fit a datagram

Cause: found on reading the change once more. Where not all others are told at once, messages repeat earlier rounds, and the latest round came first: what was dropped before it was taken in again counted as dropped. A report of 4,096 parts did not fit a datagram. Change: rounds are told in their order, which has a module and a table of its own; at most 1,024 parts a report.

--- a/dataplane/src/load_sharing/content.rs
+++ b/dataplane/src/load_sharing/content.rs
@@ -1,15 +1,15 @@
 //! What a message of loads holds: the engine's figures as they travel, and which are believed.
 
-use std::collections::VecDeque;
-
 use gradepaddle_engine::{KeptTokens, OwnLoad, Part, Sighting, StoreChanges};
 use gradepaddle_proto::{KeptPrompt, LoadShare, PromptPart, ServerShare, StoreReport};
 
+use super::recent_rounds::RecentRounds;
+
 /// Prompts told in one message at most.
 const PROMPTS_MOST: usize = 96;
-/// Servers whose changes are told in one message at most, and parts of one of them.
+/// Reports of stores in one message at most, and parts in one of them: a datagram has to hold them.
 const STORE_REPORTS_MOST: usize = 96;
-const CHANGED_PARTS_MOST: usize = 4_096;
+const CHANGED_PARTS_MOST: usize = 1_024;
 /// No balancer has more than this in flight at one server.
 const RUNNING_MOST: u32 = 100_000;
 /// No balancer has more than this to read at one server, in milliseconds: ten minutes.
@@ -17,32 +17,6 @@
 /// No prompt has more parts.
 const PARTS_MOST: usize = 256;
 
-/// What was new in the last rounds: where not all others are told each time, each is told once in several.
-pub(super) struct RecentRounds<T> {
-    rounds: VecDeque<Vec<T>>,
-    /// As much as one message holds.
-    most: usize,
-}
-
-impl<T: Clone> RecentRounds<T> {
-    fn new(most: usize) -> Self {
-        RecentRounds { rounds: VecDeque::new(), most }
-    }
-
-    /// Keeps what is new beside what others have not all been told yet.
-    pub fn keep(&mut self, fresh: impl Iterator<Item = T>, rounds: usize) {
-        self.rounds.push_back(fresh.take(self.most).collect());
-        while self.rounds.len() > rounds {
-            self.rounds.pop_front();
-        }
-    }
-
-    /// The latest, as many as a message holds.
-    pub fn all(&self) -> Vec<T> {
-        self.rounds.iter().rev().flatten().take(self.most).cloned().collect()
-    }
-}
-
 /// Prompts seen kept in the last rounds.
 pub(super) fn recent_prompts() -> RecentRounds<KeptPrompt> {
     RecentRounds::new(PROMPTS_MOST)
--- a/dataplane/src/load_sharing/mod.rs
+++ b/dataplane/src/load_sharing/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod audience;
 mod content;
+pub mod recent_rounds;
 
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, SocketAddrV4};
@@ -22,9 +23,10 @@
 use crate::shared::{DataPlane, count};
 use audience::{Audience, Peer};
 use content::{
-    RecentRounds, believable, kept_prompt, own_load, recent_changes, recent_prompts, same, share, sighting,
-    store_changes, store_report,
+    believable, kept_prompt, own_load, recent_changes, recent_prompts, same, share, sighting, store_changes,
+    store_report,
 };
+use recent_rounds::RecentRounds;
 
 /// Between two messages at least.
 const SPACING: Duration = Duration::from_millis(10);
--- a/dataplane/tests/load_sharing.rs
+++ b/dataplane/tests/load_sharing.rs
@@ -8,6 +8,7 @@
 
 use googletest::prelude::*;
 use gradepaddle_dataplane::load_sharing::audience::{Audience, Peer, Recipient};
+use gradepaddle_dataplane::load_sharing::recent_rounds::RecentRounds;
 use gradepaddle_dataplane::{DataPlane, PassedOn, Setup, is_to_tell};
 use gradepaddle_engine::{Engine, EngineConfig};
 use gradepaddle_proto::{Encode, KeptPrompt, LoadShare, PromptPart, ServerShare};
@@ -228,3 +229,24 @@
         expect_that!(is_to_tell(rank, known, alive), eq(wanted), "{rank} {known:?} {alive}");
     }
 }
+
+/// Where not all others are told at once, a message repeats earlier news: were the latest to come first, a part that a store
+/// took in again would count as dropped.
+#[gtest]
+fn news_is_told_in_the_order_in_which_it_came_and_the_latest_if_there_is_too_much() {
+    /// What came by round, how many rounds are kept, and what a message of at most four tells then.
+    type Row = (&'static [&'static [u32]], usize, &'static [u32]);
+    let rows: [Row; 6] = [
+        (&[], 1, &[]),
+        (&[&[1, 2]], 1, &[1, 2]),
+        (&[&[1, 2], &[3]], 1, &[3]),
+        (&[&[1, 2], &[], &[3]], 3, &[1, 2, 3]),
+        (&[&[1, 2, 3], &[4, 5]], 2, &[2, 3, 4, 5]),
+        (&[&[1, 2, 3, 4, 5]], 1, &[1, 2, 3, 4]),
+    ];
+    for (came, kept, told) in rows {
+        let mut recent = RecentRounds::new(4);
+        came.iter().for_each(|fresh| recent.keep(fresh.iter().copied(), kept));
+        expect_that!(recent.all(), eq(told), "{came:?}");
+    }
+}
