--- a/controlplane/src/node/servers.rs
+++ b/controlplane/src/node/servers.rs
@@ -20,8 +20,6 @@
 const REMOVE_AFTER: Micros = 60_000_000;
 /// A reserved server gets no new requests for this long at most: the end of the reservation may be lost.
 const MAX_PAUSE: Micros = 8_000_000;
-/// Servers with an older version count as not serving from this long before their deadline.
-const VERSION_MARGIN: Micros = 1_500_000;
 
 /// What a node knows of model servers and model versions.
 #[derive(Default)]
@@ -82,7 +80,7 @@
         let since_announcement = age.saturating_add(announced_before(item));
         let deadline_in = self.version_deadlines.remaining(age, since_announcement);
         out.push(Output::Event(Event::VersionAnnounced { model: model.clone(), version, deadline_in }));
-        self.rollout.set_deadline(&model, version, now + deadline_in.saturating_sub(VERSION_MARGIN));
+        self.rollout.set_deadline(now, &model, version, now + deadline_in);
         out.push(match known == Some(version) {
             true => Output::VersionDeadlineExtended { model, version, deadline_in },
             false => Output::VersionAnnounced { model, version, deadline_in },
--- a/controlplane/src/rollout.rs
+++ b/controlplane/src/rollout.rs
@@ -32,6 +32,9 @@
 const MIN_CONCURRENT: usize = 1;
 /// At most one in this many, as long as others may still serve without the version.
 const MAX_CONCURRENT_SHARE: usize = 2;
+/// Servers with an older version count as not serving from this long before their deadline: nodes leave out those whose
+/// expected wait ends too late.
+const VERSION_MARGIN: Micros = 1_500_000;
 /// After a change of the primary, the lease of the previous one has to run out and its last order has to be over. To
 /// spare: 50 ms.
 const LEASE_MARGIN: Micros = MAX_ORDER_DURATION.as_micros() as Micros + 50_000;
@@ -112,7 +115,7 @@
 /// A server with an older version of a model than the newest.
 struct Outdated<'a> {
     server: &'a Registration,
-    /// From when on it may start no requests, if it is known.
+    /// From when on it counts as not serving, if that is known.
     deadline: Option<Micros>,
 }
 
@@ -170,9 +173,17 @@
         self.loads.clear();
     }
 
-    /// Sets from when on servers with a version older than this may start no requests.
-    pub fn set_deadline(&mut self, model: &str, version: u64, deadline: Micros) {
-        self.deadlines.entry(model.to_owned()).or_default().insert(version, deadline);
+    /// Sets from when on servers with a version older than this may start no requests. A deadline that has passed stays:
+    /// all nodes leave such servers out, and an extension that comes later brings none of them back.
+    ///
+    /// Called at each node, since each may become the primary.
+    pub fn set_deadline(&mut self, now: Micros, model: &str, version: u64, deadline: Micros) {
+        self.discard_passed_deadlines(now, model);
+        let deadlines = self.deadlines.entry(model.to_owned()).or_default();
+        let current = deadlines.entry(version).or_insert(deadline);
+        if *current > now {
+            *current = deadline;
+        }
     }
 
     /// Of the versions whose deadline has passed, the newest is enough.
@@ -183,10 +194,15 @@
         deadlines.retain(|version, deadline| *deadline > now || Some(*version) >= newest_passed);
     }
 
-    /// From when on a server with this version may start no requests; `None` if no newer version is known.
-    fn deadline_of(&self, model: &str, loaded: u64) -> Option<Micros> {
+    /// From when on a server with this version counts as not serving; `None` if no newer version is known.
+    fn out_of_service_at(&self, model: &str, loaded: u64) -> Option<Micros> {
         let newer = self.deadlines.get(model)?.range(loaded + 1..);
-        newer.map(|(_, deadline)| *deadline).min()
+        newer.map(|(_, deadline)| deadline.saturating_sub(VERSION_MARGIN)).min()
+    }
+
+    /// How many deadlines are kept of a model.
+    pub fn deadline_count(&self, model: &str) -> usize {
+        self.deadlines.get(model).map_or(0, BTreeMap::len)
     }
 
     /// The steps that are due. `announced` are the newest versions by model.
@@ -244,7 +260,9 @@
         let loaded =
             servers.values().filter_map(|server| Some((server, self.loaded_version(server, model)?)));
         let older = loaded.filter(|(_, loaded)| *loaded < version);
-        older.map(|(server, loaded)| Outdated { server, deadline: self.deadline_of(model, loaded) }).collect()
+        older
+            .map(|(server, loaded)| Outdated { server, deadline: self.out_of_service_at(model, loaded) })
+            .collect()
     }
 
     /// Announces to all nodes that a server is about to load.
