--- a/dataplane/src/response_forwarding.rs
+++ b/dataplane/src/response_forwarding.rs
@@ -299,9 +299,10 @@
         placer.record_end(now, self.placement.attempt, outcome, load, None);
     }
 
-    /// Gives the server's connection back for another request.
+    /// Gives the server's connection back for another request, unless it has ended with the response.
     fn release_connection(&mut self) {
-        if let Some(UpstreamResponse { connection, head, .. }) = self.upstream.take() {
+        let Some(UpstreamResponse { connection, head, framing, .. }) = self.upstream.take() else { return };
+        if framing != Framing::UntilClose {
             self.plane.upstreams.release(&self.placement.server, connection, &head);
         }
     }
--- a/dataplane/src/upstream_response.rs
+++ b/dataplane/src/upstream_response.rs
@@ -107,8 +107,9 @@
             let Some(connection) = unanswered.0.take() else { break };
             return Ok(UpstreamResponse { connection, head, status, body, framing });
         }
-        // The length of its body depends on the request that it answers, which is not this HEAD.
-        if method == "HEAD" {
+        // The length of its body depends on the request that it answers, which is not this HEAD. Behind one that ends with
+        // its connection comes nothing.
+        if method == "HEAD" || framing == Framing::UntilClose {
             return Err(ExchangeError::InvalidResponse);
         }
         skip_body(connection, body).await?;
@@ -129,17 +130,13 @@
     Err(ExchangeError::InvalidResponse)
 }
 
-/// How the body of a response is framed. A body that only the end of the connection ends is accepted only with
-/// `Connection: close`: otherwise a broken connection could not be distinguished from its end.
+/// How the body of a response is framed. One without a length ends with its connection, whether the server announces that
+/// or not (RFC 9112, section 6.3); a connection that is reset is no end.
 fn body_framing(head: &Head, method: &str) -> Result<Framing, ExchangeError> {
     if method == "HEAD" || head.has_no_body() {
         return Ok(Framing::Length(0));
     }
-    match head.framing(Framing::UntilClose) {
-        Ok(Framing::UntilClose) if head.keeps_alive() => Err(ExchangeError::InvalidResponse),
-        Ok(framing) => Ok(framing),
-        Err(_) => Err(ExchangeError::InvalidResponse),
-    }
+    head.framing(Framing::UntilClose).map_err(|_| ExchangeError::InvalidResponse)
 }
 
 /// True if a response bears this request's id and no other. One without an id can't be distinguished from a surplus one, unless the
--- a/dataplane/tests/common/scripts.rs
+++ b/dataplane/tests/common/scripts.rs
@@ -48,6 +48,14 @@
     out
 }
 
+/// A response without a length on a connection that is kept by default: its end is that of the connection.
+pub fn without_length(server_request: &ServerRequest, status: &str, more: &str, body: &[u8]) -> Vec<u8> {
+    let mut out = head(server_request, status, more).into_bytes();
+    out.extend(b"\r\n");
+    out.extend(body);
+    out
+}
+
 /// These steps, whatever the request.
 pub fn steps(steps: Vec<Step>) -> Script {
     Box::new(move |_| steps.clone())
--- a/dataplane/tests/responses.rs
+++ b/dataplane/tests/responses.rs
@@ -45,6 +45,72 @@
     });
 }
 
+#[gtest]
+fn a_response_without_a_length_ends_with_its_connection_even_if_that_was_to_be_kept() {
+    run(async {
+        for more in ["", "Connection: keep-alive\r\n", "Keep-Alive: timeout=9\r\n"] {
+            let sent = body(70_000);
+            let first = sent.clone();
+            let harness = Harness::new(vec![
+                bytes_then(
+                    move |server_request| without_length(server_request, "200 OK", more, &first),
+                    vec![Step::Close],
+                ),
+                ok_response("next"),
+            ])
+            .await;
+            let mut client = harness.client().await;
+            let response = client.request(&ClientRequest::post("/unsafe/x")).await;
+            expect_that!((response.status, response.body_end), eq((200, BodyEnd::Whole)), "{more:?}");
+            expect_true!(response.body == sent);
+            let next = client.request(&ClientRequest::get("/safe/x")).await;
+            expect_that!(next.text(), eq("next"), "on the client's same connection, {more:?}");
+            let connections: Vec<usize> =
+                harness.all_server_requests().await.iter().map(|request| request.connection).collect();
+            expect_that!(connections, elements_are![eq(&0), eq(&1)], "the server's connection is not reused");
+        }
+    });
+}
+
+#[gtest]
+fn a_response_without_a_length_is_incomplete_if_its_connection_is_reset() {
+    run(async {
+        let gate = Gate::default();
+        let reset = gate.clone();
+        let harness = Harness::new(vec![bytes_then(
+            |server_request| without_length(server_request, "200 OK", "", b"begun"),
+            vec![Step::Wait(reset), Step::Reset],
+        )])
+        .await;
+        let mut client = harness.client().await;
+        client.send(&ClientRequest::post("/unsafe/x").bytes()).await;
+        client.wait_for("begun").await;
+        gate.open();
+        let response = client.response().await;
+        expect_that!(response.status, eq(200));
+        expect_true!(response.is_truncated());
+        expect_that!(harness.all_server_requests().await.len(), eq(1));
+    });
+}
+
+#[gtest]
+fn behind_a_surplus_response_without_a_length_comes_no_other() {
+    run(async {
+        let surplus = |server_request: &ServerRequest| {
+            let other = ServerRequest {
+                fields: vec![("x-request-id".into(), "of-another".into())],
+                ..server_request.clone()
+            };
+            let mut out = without_length(&other, "200 OK", "", b"of another request");
+            out.extend(with_length(server_request, "200 OK", "", b"inside of that body"));
+            out
+        };
+        let harness = Harness::new(vec![bytes_then(surplus, vec![Step::Hang])]).await;
+        let response = harness.request(&ClientRequest::post("/unsafe/x")).await;
+        expect_that!(response.status, eq(502), "its request may have been processed");
+    });
+}
+
 #[gtest]
 fn a_server_error_is_forwarded_unchanged_on_a_route_without_retries() {
     run(async {
