--- a/src/balancer/load.rs
+++ b/src/balancer/load.rs
@@ -36,13 +36,17 @@
             true => self.tally.paces.iter().map(|(kind, pace)| (*kind, speed(pace))).collect(),
             false => BTreeMap::new(),
         };
-        for s in &self.ready {
+        for s in self.ready.iter().chain(&self.trial) {
             let peer = &mut self.servers[*s];
             peer.relative = speeds.get(&peer.kind).copied().unwrap_or(peer.size);
         }
-        let sizes: f64 = self.ready.iter().map(|s| self.servers[*s].relative).sum();
-        for s in &self.ready {
-            self.servers[*s].relative *= self.ready.len() as f64 / sizes;
+        // Those on trial are measured by the mean of the ready ones: they have to have a size as well, or the wait of each
+        // class that may try them is no number.
+        let known = if self.ready.is_empty() { &self.trial } else { &self.ready };
+        let sizes: f64 = known.iter().map(|s| self.servers[*s].relative).sum();
+        let scale = known.len() as f64 / sizes;
+        for s in self.ready.iter().chain(&self.trial) {
+            self.servers[*s].relative *= scale;
         }
         self.even = self.ready.iter().all(|s| self.servers[*s].relative == 1.0);
     }
@@ -134,15 +138,25 @@
         for server in 0..self.servers.len() {
             self.refresh_brief(server, now);
         }
-        for (mean, open) in self.mean_wait.iter_mut().zip(&self.open) {
-            *mean = open.iter().map(|s| self.briefs[*s].wait).sum::<f64>() / open.len().max(1) as f64;
-        }
+        self.update_mean_waits();
         self.update_relative_sizes();
         self.probe(now, out);
         self.drop_idle(now, span as f64, out);
         self.update_rates(span, &carried_by_kind);
     }
 
+    /// The mean wait of each class over its open servers. One on trial is no capacity, so that it counts only where no other
+    /// is open.
+    fn update_mean_waits(&mut self) {
+        for (mean, open) in self.mean_wait.iter_mut().zip(&self.open) {
+            let any_ready = open.iter().any(|s| self.servers[*s].proven);
+            let counted = open.iter().filter(|s| !any_ready || self.servers[**s].proven);
+            let (sum, count) =
+                counted.fold((0.0, 0.0), |(sum, count), s| (sum + self.briefs[*s].wait, count + 1.0));
+            *mean = sum / f64::max(count, 1.0);
+        }
+    }
+
     /// Moves the means of my own work on; what servers of each kind have answered lately, and how many they are.
     fn update_own_work(&mut self, now: Micros, span: Micros, overdue: f64) -> BTreeMap<u32, (f64, f64)> {
         let mut kinds: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -241,6 +241,49 @@
     assert!(served[0] > served[1] && served[1] > 0, "by worth, and none starves: {served:?}");
 }
 
+/// A server that was never ready counts with the size of its kind: without one, the expected wait of every class that may
+/// try it is no number, and nothing is rejected by patience.
+#[test]
+fn overload_is_rejected_early_also_while_a_new_server_is_on_trial() {
+    let sent_in_a_jam = |on_trial: bool| {
+        let settings = Settings {
+            classes: vec![class(Effect::Safe)],
+            probes: true,
+            cold_from: 1.0,
+            max_pause: 1_000_000,
+            ..Settings::default()
+        };
+        let mut bench = Bench::with_servers(settings, 2);
+        let mut now = bench.settle(0, 300);
+        if on_trial {
+            bench.list(now, ListKind::Delta, vec![Server { started: Some(now), ..server("x", 3) }]);
+        }
+        // It answers no probe, so that requests try it, in vain. The rest is answered so often that the class is not
+        // held to be crowded afterwards.
+        for i in 0..2_000u64 {
+            now += 2_000;
+            let id = format!("try{i}");
+            bench.arrive(now, &id, &id, 10_000.0);
+            let mut attempt = 0;
+            while let Some(server) = bench.sent() {
+                let outcome = if server == "x" { Outcome::ConnectFailed } else { Outcome::Ok };
+                bench.end(now + 1_000, &id, attempt, outcome, 10_000);
+                attempt += 1;
+            }
+        }
+        let mut sent = 0_u32;
+        for i in 0..400u64 {
+            let id = format!("r{i}");
+            bench.arrive(now + i * 500, &id, &id, 10_000.0);
+            sent += u32::from(bench.sent().is_some());
+        }
+        sent
+    };
+    let (without, with) = (sent_in_a_jam(false), sent_in_a_jam(true));
+    assert!((100..200).contains(&without), "{without} of 400 sent without it");
+    assert!(with.abs_diff(without) <= 1, "{with} of 400 sent with a server on trial, {without} without");
+}
+
 /// Guards a fleet of short answers: what a reset may have left behind at a server is worked off within the aims, and is
 /// no reason to refuse what others would do in a tenth of their time.
 #[test]
