--- a/controlplane/src/driver.rs
+++ b/controlplane/src/driver.rs
@@ -8,13 +8,13 @@
 use gradepaddle_control::{Record, WriteId};
 use gradepaddle_http::buffers::Pool;
 use gradepaddle_placement::ServerEntry;
-use gradepaddle_proto::Envelope;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::sleep_until;
+use tokio::time::{Instant, sleep_until};
 
 use crate::Micros;
 use crate::api::{Call, Response};
 use crate::clock::Clock;
+use crate::inbox::{DroppedMessages, InboxReceiver};
 use crate::node::{ConfigurationValidity, Event, Input, MemberNode, Node, Output};
 use crate::order::Order;
 use crate::server_client::{self, OrderPermit};
@@ -69,7 +69,7 @@
 pub struct Driver {
     node: Node,
     events: mpsc::UnboundedReceiver<DriverEvent>,
-    envelopes: mpsc::UnboundedReceiver<Envelope>,
+    inbox: InboxReceiver,
     loopback: mpsc::UnboundedSender<DriverEvent>,
     transport: Rc<Transport>,
     effects: Rc<dyn Effects>,
@@ -87,7 +87,7 @@
     /// Events of tasks and threads.
     pub events: mpsc::UnboundedReceiver<DriverEvent>,
     /// Messages of other nodes.
-    pub envelopes: mpsc::UnboundedReceiver<Envelope>,
+    pub inbox: InboxReceiver,
     /// The sending end of `events`, for tasks that the driver spawns.
     pub loopback: mpsc::UnboundedSender<DriverEvent>,
 }
@@ -105,7 +105,7 @@
         Driver {
             node,
             events: channels.events,
-            envelopes: channels.envelopes,
+            inbox: channels.inbox,
             loopback: channels.loopback,
             transport,
             effects,
@@ -125,22 +125,29 @@
             let wake = self.clock.instant(self.node.next_wake());
             // Cancellation: `recv` loses nothing, and the sleep is set anew in each round.
             tokio::select! {
-                Some(envelope) = self.envelopes.recv() => self.handle(Input::Envelope(envelope), &mut out),
+                Some(envelope) = self.inbox.recv() => self.handle(Input::Envelope(envelope), &mut out),
                 Some(event) = self.events.recv() => self.handle_event(event, &mut out),
                 () = sleep_until(wake) => self.handle(Input::Tick, &mut out),
                 else => return,
             }
             self.handle_waiting(&mut out);
+            self.report_dropped_messages();
             for output in std::mem::take(&mut out) {
                 self.carry_out(output);
             }
         }
     }
 
+    fn report_dropped_messages(&mut self) {
+        for DroppedMessages { peer, count, total } in self.inbox.take_dropped(Instant::now()) {
+            self.effects.event(Event::MessagesDropped { peer, count, total });
+        }
+    }
+
     /// Handles what has come meanwhile.
     fn handle_waiting(&mut self, out: &mut Vec<Output>) {
         for _ in 0..MAX_EVENT_BATCH {
-            if let Ok(envelope) = self.envelopes.try_recv() {
+            if let Some(envelope) = self.inbox.try_recv() {
                 self.handle(Input::Envelope(envelope), out);
             } else if let Ok(event) = self.events.try_recv() {
                 self.handle_event(event, out);
--- a/controlplane/src/lib.rs
+++ b/controlplane/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! - API: [`api`] (calls and responses), [`api_server`] (HTTP)
 //! - membership: [`session_client`], [`session_table`], [`absence_tracker`], [`bootstrap`]
-//! - messages: [`transport`], [`send_queue`], [`item_kinds`]
+//! - messages: [`transport`], [`send_queue`], [`inbox`], [`item_kinds`]
 //! - servers: [`registry`], [`rollout`], [`order`], [`server_client`], [`version_announcement`]
 //! - configuration: [`staleness`]
 
@@ -16,6 +16,7 @@
 pub mod bootstrap;
 pub mod clock;
 pub mod driver;
+pub mod inbox;
 pub mod item_kinds;
 pub mod node;
 pub mod order;
--- a/controlplane/src/node/messages.rs
+++ b/controlplane/src/node/messages.rs
@@ -223,4 +223,13 @@
         /// Its outcome.
         outcome: OrderOutcome,
     },
+    /// Messages of another node were dropped, since too much of what it sent was waiting.
+    MessagesDropped {
+        /// The node.
+        peer: SocketAddrV4,
+        /// Messages since the last such event.
+        count: u64,
+        /// Messages since the start of the process.
+        total: u64,
+    },
 }
--- a/controlplane/src/transport.rs
+++ b/controlplane/src/transport.rs
@@ -13,9 +13,9 @@
 use gradepaddle_proto::{Content, Decode, Encode, Envelope};
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
+use crate::inbox::{Inbox, InboxError};
 use crate::send_queue::{SendError, SendQueue, SendQueueReceiver, send_queue, write_with_progress};
 
 /// A connection has to be established within this.
@@ -31,9 +31,6 @@
 /// Pause after a failed `accept`, for instance without file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Where received messages go.
-pub type Inbox = mpsc::UnboundedSender<Envelope>;
-
 /// The outgoing connections of one node.
 pub struct Transport {
     own: SocketAddrV4,
@@ -128,7 +125,7 @@
                 Ok(Some(body)) => {
                     // A message of a newer build that this one can't decode is skipped.
                     if let Ok(envelope) = Envelope::from_bytes(body)
-                        && inbox.send(envelope).is_err()
+                        && inbox.push(envelope, body.len()) == Err(InboxError::Closed)
                     {
                         return;
                     }
--- a/system/src/effects.rs
+++ b/system/src/effects.rs
@@ -143,6 +143,9 @@
                 info!(self.log, "server order answered"; "server" => &*order.server, "model" => &*order.model,
                     "version" => order.version, "fencing_token" => order.fencing_token, "result" => outcome_name(outcome));
             }
+            Event::MessagesDropped { peer, count, total } => {
+                warn!(self.log, "received messages dropped"; "peer" => %peer, "count" => count, "total" => total);
+            }
         }
     }
 
--- a/system/src/run.rs
+++ b/system/src/run.rs
@@ -10,6 +10,7 @@
 use gradepaddle_controlplane::api_server::serve_api;
 use gradepaddle_controlplane::clock::Clock;
 use gradepaddle_controlplane::driver::{Driver, DriverChannels, DriverEvent};
+use gradepaddle_controlplane::inbox::inbox;
 use gradepaddle_controlplane::node::Input;
 use gradepaddle_controlplane::transport::{Transport, serve_peers};
 use gradepaddle_dataplane::{
@@ -68,9 +69,9 @@
         let _ = driver_events.send(DriverEvent::Input(input));
     }));
     let node = planes::control_plane(&settings);
-    let (inbox, envelopes) = mpsc::unbounded_channel();
+    let (inbox, inbox_receiver) = inbox();
     let transport = Transport::new(peer_address(&settings));
-    let channels = DriverChannels { events: event_receiver, envelopes, loopback: events.clone() };
+    let channels = DriverChannels { events: event_receiver, inbox: inbox_receiver, loopback: events.clone() };
     let owner: Arc<str> = Arc::from(&*settings.node_name);
     let driver = Driver::new(node, channels, transport, effects.clone(), owner, clock);
     tokio::task::spawn_local(driver.run());
