--- a/controlplane/src/order.rs
+++ b/controlplane/src/order.rs
@@ -34,6 +34,8 @@
     InProgress,
     /// 200: the server has loaded the version.
     Loaded,
-    /// Rejected, or the outcome is unknown.
+    /// 412: the server has seen a higher fencing token, so another node has the role. Never sent again under this token.
+    Superseded,
+    /// Rejected for another reason, or the outcome is unknown.
     Failed,
 }
--- a/controlplane/src/rollout.rs
+++ b/controlplane/src/rollout.rs
@@ -4,7 +4,7 @@
 //! order, must be over. A few servers of a model at once: each is reserved, so that it gets no new requests, then
 //! ordered, then queried until it has loaded the version.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -132,6 +132,8 @@
     reported: BTreeMap<Arc<str>, BTreeMap<Arc<str>, u64>>,
     /// Servers that were released without the version, and until when they are left alone.
     backoff_until: BTreeMap<Arc<str>, Micros>,
+    /// Servers that have seen a higher fencing token than the one in force: another node has the role there.
+    superseded: BTreeSet<Arc<str>>,
     /// For each version of each model, from when on servers with older ones may start no requests.
     deadlines: BTreeMap<String, BTreeMap<u64, Micros>>,
     last_reservation: u64,
@@ -149,6 +151,7 @@
             loads: BTreeMap::new(),
             reported: BTreeMap::new(),
             backoff_until: BTreeMap::new(),
+            superseded: BTreeSet::new(),
             deadlines: BTreeMap::new(),
             last_reservation: 0,
         }
@@ -163,6 +166,7 @@
         self.orders_allowed_at = self.orders_allowed_at.max(allowed_at);
         self.fencing_token = Some(epoch);
         self.last_epoch = epoch;
+        self.superseded.clear();
         self.loads.clear();
         self.reported.clear();
     }
@@ -228,6 +232,7 @@
         steps: &mut Vec<Step>,
     ) {
         self.backoff_until.retain(|_, until| *until > now);
+        self.superseded.retain(|server| servers.contains_key(server));
         self.discard_passed_deadlines(now, model);
         let total = servers.values().filter(|server| registered_version(server, model).is_some()).count();
         let mut outdated = self.outdated(servers, model, version);
@@ -237,8 +242,8 @@
         let mut missing = loads.filter(|load| load.was_serving && &*load.model == model).count();
         for Outdated { server, deadline } in outdated {
             let serving = deadline.is_none_or(|deadline| now < deadline);
-            let free = !self.loads.contains_key(&server.id) && !self.backoff_until.contains_key(&server.id);
-            if !free || server.draining || server.lost || (serving && missing >= max_missing) {
+            let available = self.is_available(server) && !server.draining && !server.lost;
+            if !available || (serving && missing >= max_missing) {
                 continue;
             }
             missing += usize::from(serving);
@@ -255,6 +260,13 @@
         }
     }
 
+    /// True if a load of this server may start: none is under way, and none was given up a moment ago or for good.
+    fn is_available(&self, server: &Registration) -> bool {
+        !self.loads.contains_key(&server.id)
+            && !self.backoff_until.contains_key(&server.id)
+            && !self.superseded.contains(&server.id)
+    }
+
     /// The servers with an older version of a model.
     fn outdated<'a>(&self, servers: &'a Servers, model: &str, version: u64) -> Vec<Outdated<'a>> {
         let loaded =
@@ -365,6 +377,10 @@
     pub fn handle_order_outcome(&mut self, now: Micros, order: &Order, outcome: OrderOutcome) -> Vec<Step> {
         let mut steps = Vec::new();
         let token = self.fencing_token;
+        if outcome == OrderOutcome::Superseded && token == Some(order.fencing_token) {
+            self.superseded.insert(order.server.clone());
+            self.release(&order.server, false, &mut steps);
+        }
         let Some(load) = self.loads.get_mut(&order.server) else { return steps };
         if !load.matches(order, token) {
             return steps;
@@ -375,7 +391,7 @@
                 load.stage = Stage::Loading;
                 load.next_due = now + QUERY_INTERVAL;
             }
-            OrderOutcome::Failed => {}
+            OrderOutcome::Superseded | OrderOutcome::Failed => {}
         }
         steps
     }
--- a/controlplane/src/server_client.rs
+++ b/controlplane/src/server_client.rs
@@ -115,6 +115,7 @@
     match call_with_permit(&mut permit, order.address, &request, pool).await {
         Some(HttpResponse { status: 202, .. }) => OrderOutcome::InProgress,
         Some(HttpResponse { status: 200, .. }) => OrderOutcome::Loaded,
+        Some(HttpResponse { status: 412, .. }) => OrderOutcome::Superseded,
         _ => OrderOutcome::Failed,
     }
 }
--- a/controlplane/tests/response_matching.rs
+++ b/controlplane/tests/response_matching.rs
@@ -386,6 +386,8 @@
         for (answer, wanted) in [
             ("HTTP/1.1 202 Taken\r\nContent-Length: 0\r\n\r\n", OrderOutcome::InProgress),
             ("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", OrderOutcome::Failed),
+            ("HTTP/1.1 409 Busy\r\nContent-Length: 0\r\n\r\n", OrderOutcome::Failed),
+            ("HTTP/1.1 412 Higher Fence\r\nContent-Length: 0\r\n\r\n", OrderOutcome::Superseded),
         ] {
             let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
             let SocketAddr::V4(address) = listener.local_addr()? else { return fail!("no IPv4") };
--- a/controlplane/tests/rollout.rs
+++ b/controlplane/tests/rollout.rs
@@ -368,6 +368,44 @@
     Ok(())
 }
 
+/// The operators' rule Duty: a holder that was refused since a higher fencing token was seen stops there.
+#[gtest]
+fn a_server_that_has_seen_a_higher_token_gets_no_order_again_under_this_one() -> Result<()> {
+    let mut driver = RolloutDriver::leading(2);
+    driver.run(300 * MS);
+    let refused: Arc<str> = driver.given.keys().next().expect("one was ordered").clone();
+    let steps = driver.answer(&refused, OrderOutcome::Superseded);
+    expect_that!(steps.len(), eq(1), "its reservation ends: {steps:?}");
+    let later = driver.run(60 * SECOND);
+    let ordered: Vec<Arc<str>> = orders(&later).into_iter().map(|(_, order)| order.server.clone()).collect();
+    expect_that!(ordered, not(contains(eq(&refused))));
+    expect_that!(ordered, not(is_empty()), "the other server goes on");
+    // A later epoch has a higher token.
+    driver.rollout.become_primary(driver.now, 2);
+    let ordered: Vec<Arc<str>> =
+        orders(&driver.run(20 * SECOND)).into_iter().map(|(_, order)| order.server.clone()).collect();
+    expect_that!(ordered, contains(eq(&refused)));
+    Ok(())
+}
+
+/// The refusal may come when the load has been given up, or under a later token.
+#[gtest]
+fn a_late_refusal_counts_under_its_own_token_only() -> Result<()> {
+    let mut driver = RolloutDriver::leading(1);
+    driver.run(300 * MS);
+    let first = driver.given["s00"].clone();
+    driver.run(9 * SECOND);
+    driver.rollout.handle_order_outcome(driver.now, &first, OrderOutcome::Superseded);
+    driver.given.clear();
+    driver.run(20 * SECOND);
+    expect_that!(driver.given.len(), eq(0), "given up, and refused");
+    driver.rollout.become_primary(driver.now, 2);
+    driver.rollout.handle_order_outcome(driver.now, &first, OrderOutcome::Superseded);
+    driver.run(20 * SECOND);
+    expect_that!(driver.given.len(), eq(1), "an earlier token says nothing of this one");
+    Ok(())
+}
+
 #[gtest]
 fn a_deadline_that_has_passed_is_not_extended() -> Result<()> {
     let mut driver = RolloutDriver::leading(12);
--- a/system/src/effects.rs
+++ b/system/src/effects.rs
@@ -28,6 +28,7 @@
     match outcome {
         OrderOutcome::InProgress => "in_progress",
         OrderOutcome::Loaded => "loaded",
+        OrderOutcome::Superseded => "superseded",
         OrderOutcome::Failed => "failed",
     }
 }
