--- a/controlplane/tests/outages.rs
+++ b/controlplane/tests/outages.rs
@@ -123,6 +123,28 @@
     Ok(())
 }
 
+/// On some days the share of a core is a quota: a process runs for 10 ms of each 100 ms. Nothing is lost by that: each call
+/// is answered, no lease runs out, and no member or server is taken for lost.
+#[gtest]
+fn a_core_quota_costs_no_primary_and_no_answer() -> Result<()> {
+    for (nodes, cores, losses) in [(9, 3, 1), (9, 9, 2)] {
+        let outage = Some(Outage { victim: Victim::All, kind: OutageKind::Throttled, lasts: LASTS });
+        let throttled = Plan { nodes, outage, ..plan(cores, losses, Victim::All, OutageKind::Throttled) };
+        let mut total = Report::default();
+        for seed in seeds() {
+            let report = World::new(throttled.clone(), seed).play();
+            expect_that!(report.violation, none(), "{cores} cores, seed {seed}");
+            expect_that!(report.highest_epoch, eq(1), "{cores} cores, seed {seed}: no other primary");
+            total.add(&report);
+        }
+        println!("{cores} cores throttled: {total:?}");
+        expect_that!(total.unclear, eq(0), "{cores} cores");
+        expect_that!(total.acknowledged, gt(0));
+        expect_that!(total.others_after, lt(SECOND));
+    }
+    Ok(())
+}
+
 /// A large fleet: eight machines with a disk in three zones, so that several are partitioned together.
 #[gtest]
 fn the_zone_of_the_primary_of_seventy_eight_nodes_is_partitioned() -> Result<()> {
--- a/controlplane/tests/simulation/outage.rs
+++ b/controlplane/tests/simulation/outage.rs
@@ -29,6 +29,8 @@
     OtherCore,
     /// A machine without a disk.
     WithoutDisk,
+    /// All machines.
+    All,
     /// Half of the machines with a disk, rounded down; with the primary among them.
     HalfWithPrimary,
     /// The same, without the primary.
@@ -54,8 +56,15 @@
     Flapping,
     /// The processes stand still again and again, between deciding something and answering or ordering.
     Stalling,
+    /// Their share of a core is a quota: they run for a tenth of each tenth of a second, each in a phase of its own. No
+    /// fault: all rules hold meanwhile.
+    Throttled,
 }
 
+/// How long a throttled process may run, and in which period.
+const QUOTA: Micros = 10 * MS;
+const QUOTA_PERIOD: Micros = 100 * MS;
+
 /// Machines without contact.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Outage {
@@ -71,6 +80,8 @@
     Freeze,
     Flap,
     Stall,
+    /// The quota of a machine is spent.
+    SpendQuota(usize),
     End,
     Probe,
 }
@@ -104,6 +115,7 @@
             OutageStep::Freeze => self.freeze_apart(outage.lasts / 2),
             OutageStep::Flap => self.flap(),
             OutageStep::Stall => self.stall(),
+            OutageStep::SpendQuota(machine) => self.spend_quota(machine),
             OutageStep::End => self.end_outage(),
             OutageStep::Probe => self.probe(),
         }
@@ -124,6 +136,7 @@
                 let zone = self.machines.iter().filter(|one| one.zone == primary.zone);
                 zone.map(|one| one.number).collect()
             }
+            Victim::All => self.machines.iter().map(|one| one.number).collect(),
             Victim::HalfWithPrimary => self.half_of_core(primary.number, true),
             Victim::HalfWithoutPrimary => self.half_of_core(primary.number, false),
             Victim::OtherCore => other(true),
@@ -170,14 +183,17 @@
         ) {
             self.network.cut(&apart, &others);
         }
-        for number in &apart {
-            self.machines[*number].note_fault(now, now + outage.lasts);
+        if outage.kind != OutageKind::Throttled {
+            for number in &apart {
+                self.machines[*number].note_fault(now, now + outage.lasts);
+            }
+            self.record.links.push((now, now + outage.lasts));
+            self.report.faults += 1;
         }
-        self.record.links.push((now, now + outage.lasts));
-        self.report.faults += 1;
         self.outage.apart = apart;
         self.outage.began = Some(now);
-        let steady = !matches!(outage.kind, OutageKind::Flapping | OutageKind::Stalling);
+        let steady =
+            !matches!(outage.kind, OutageKind::Flapping | OutageKind::Stalling | OutageKind::Throttled);
         self.outage.cut_since = steady.then_some(now);
         match outage.kind {
             OutageKind::Frozen => self.freeze_apart(outage.lasts),
@@ -186,6 +202,12 @@
             }
             OutageKind::Flapping => self.flap(),
             OutageKind::Stalling => self.stall(),
+            OutageKind::Throttled => {
+                for number in self.outage.apart.clone() {
+                    let phase = self.random.between(0, QUOTA_PERIOD);
+                    self.schedule_in(phase, Event::Outage(OutageStep::SpendQuota(number)));
+                }
+            }
             _ => {}
         }
         self.schedule_in(outage.lasts, Event::Outage(OutageStep::End));
@@ -221,6 +243,15 @@
         self.schedule_in(next, Event::Outage(OutageStep::Stall));
     }
 
+    /// A process stands still for the rest of its period.
+    fn spend_quota(&mut self, number: usize) {
+        if self.outage.ending {
+            return;
+        }
+        self.machines[number].frozen_until = self.now + QUOTA_PERIOD - QUOTA;
+        self.schedule_in(QUOTA_PERIOD, Event::Outage(OutageStep::SpendQuota(number)));
+    }
+
     /// A process that stood still goes on with what it had decided before.
     pub fn carry_out_after_stall(
         &mut self,
@@ -267,7 +298,8 @@
         let apart = self.outage.apart.clone();
         let thawed = apart.iter().map(|number| self.machines[*number].frozen_until).max().unwrap_or(0);
         apart.iter().for_each(|number| self.machines[*number].stalls_for = 0);
-        if thawed > self.now {
+        let throttled = self.plan.outage.is_some_and(|outage| outage.kind == OutageKind::Throttled);
+        if thawed > self.now && !throttled {
             // It lasts longer, then.
             let now = self.now;
             apart.iter().for_each(|number| self.machines[*number].note_fault(now, thawed));
@@ -337,9 +369,14 @@
                 self.broken(format!("a read at node {machine} is answered by {status}"));
             }
             None => {
-                let thawed = self.machines[machine].frozen_until;
-                let stands_still = self.plan.outage.is_some_and(|outage| outage.kind == OutageKind::Stalling);
-                if self.now > thawed + 2 * SECOND && !stands_still {
+                let kind = self.plan.outage.map(|outage| outage.kind);
+                let frozen = self.now <= self.machines[machine].frozen_until + 2 * SECOND;
+                let excused = match kind {
+                    Some(OutageKind::Stalling) => true,
+                    Some(OutageKind::Throttled) => false,
+                    _ => frozen,
+                };
+                if !excused {
                     self.broken(format!("a read at node {machine} has no answer within a second"));
                 }
             }
