--- a/controlplane/tests/regressions.rs
+++ b/controlplane/tests/regressions.rs
@@ -313,3 +313,26 @@
     let plan = Plan { strict: true, ..Plan::new(9, 3, 1) };
     verify_that!(first_violation(&plan, 0..30), none())
 }
+
+/// The whole core loses power right after a server's end was acknowledged, and the server is gone as well: what is left is
+/// what the acknowledgement waited for.
+#[gtest]
+fn an_acknowledged_drain_outlives_a_power_loss_of_the_whole_core() -> Result<()> {
+    for (nodes, cores, losses) in [(9, 3, 1), (12, 8, 2)] {
+        let plan = Plan {
+            faults: 0,
+            servers: 12,
+            core_loses_power_after_drain: true,
+            servers_agree: false,
+            ..Plan::new(nodes, cores, losses)
+        };
+        let mut faults = 0;
+        for seed in 0..25 {
+            let report = World::new(plan.clone(), seed).play();
+            expect_that!(report.violation, none(), "{cores} cores, seed {seed}");
+            faults += report.faults;
+        }
+        expect_that!(faults, gt(15), "{cores} cores: days on which it happened");
+    }
+    Ok(())
+}
--- a/controlplane/tests/simulation/clients.rs
+++ b/controlplane/tests/simulation/clients.rs
@@ -107,6 +107,7 @@
         self.report.drains += 1;
         let check = Check::Drained { server: index, by: number, at: self.now };
         self.schedule_in(2 * SECOND, Event::Check(check));
+        self.lose_core_after_drain(index);
         self.lose_after_acknowledging(number);
     }
 
--- a/controlplane/tests/simulation/faults.rs
+++ b/controlplane/tests/simulation/faults.rs
@@ -4,6 +4,7 @@
 
 use super::invariants::Check;
 use super::plan::Ending;
+use super::server::Stage;
 use super::world::{Event, World};
 use super::{MS, Micros, SECOND};
 
@@ -235,6 +236,28 @@
         Some(down)
     }
 
+    /// All machines with a disk lose power at once, together with the server whose end was just acknowledged: nobody else
+    /// can say again what it said.
+    pub fn lose_core_after_drain(&mut self, server: usize) {
+        if !self.plan.core_loses_power_after_drain || self.report.faults > 0 {
+            return;
+        }
+        self.report.faults += 1;
+        self.servers[server].stage = Stage::Ended;
+        self.servers[server].crashed = true;
+        let cores: Vec<usize> = self.up().into_iter().filter(|number| self.machines[*number].core).collect();
+        let now = self.now;
+        for number in cores {
+            let down = self.random.between(300 * MS, 3 * SECOND);
+            self.stop(number, true);
+            self.machines[number].note_fault(now, now + down);
+            self.schedule_in(down, Event::Start(number));
+        }
+        for later in [2, 5, 9] {
+            self.schedule_in(later * SECOND, Event::Check(Check::DrainKept { server }));
+        }
+    }
+
     /// The node that acknowledged something is lost right after, at times.
     pub fn lose_after_acknowledging(&mut self, number: usize) {
         let fit = !self.machines[number].core || self.may_lose() > 0;
--- a/controlplane/tests/simulation/invariants.rs
+++ b/controlplane/tests/simulation/invariants.rs
@@ -32,6 +32,8 @@
     Answered { operator: usize, begun: Micros },
     /// All connected machines know that a server takes no new requests.
     Drained { server: usize, by: usize, at: Micros },
+    /// No node takes a server for ready whose end was acknowledged before the whole core lost power.
+    DrainKept { server: usize },
     /// A model version that was announced then is loaded.
     Loaded { version: u64, at: Micros },
     /// No node accepts keys of an older version, connected or not.
@@ -94,6 +96,7 @@
             Check::Applied { version, at } => self.check_applied(version, at),
             Check::Answered { operator, begun } => self.check_answered(operator, begun),
             Check::Drained { server, by, at } => self.check_drained(server, by, at),
+            Check::DrainKept { server } => self.check_drain_kept(server),
             Check::Loaded { version, at } => self.check_loaded(version, at),
             Check::Revoked { version } => self.check_revoked(version),
             Check::Settled => self.check_settled(),
@@ -227,6 +230,17 @@
         true
     }
 
+    fn check_drain_kept(&mut self, server: usize) -> bool {
+        let id = self.servers[server].id.clone();
+        for number in self.up() {
+            let Some(process) = &self.machines[number].process else { continue };
+            if process.observed.servers.get(&id) == Some(&ServerState::Ready) {
+                self.broken(format!("node {number} calls {id} ready, whose end was acknowledged"));
+            }
+        }
+        true
+    }
+
     fn check_loaded(&mut self, version: u64, at: Micros) -> bool {
         if !self.core_without_faults(at, self.now) || self.loading_may_be_delayed(at) {
             return false;
--- a/controlplane/tests/simulation/plan.rs
+++ b/controlplane/tests/simulation/plan.rs
@@ -39,6 +39,8 @@
     pub strict: bool,
     /// Machines without contact for a while, from 8 s on.
     pub outage: Option<Outage>,
+    /// All machines with a disk lose power the moment that a server's end has been acknowledged, once a day.
+    pub core_loses_power_after_drain: bool,
     /// Keys that are taken away have to stop working at every node within this.
     pub revoke_within: Option<Micros>,
     /// A fault of the protocol that is built in on purpose.
@@ -60,6 +62,7 @@
             servers_agree: true,
             strict: true,
             outage: None,
+            core_loses_power_after_drain: false,
             revoke_within: None,
             injected_fault: None,
         }
