--- a/controlplane/src/server_client.rs
+++ b/controlplane/src/server_client.rs
@@ -154,8 +154,7 @@
     let stream = connect(address).await?;
     // The process may have been stopped while it connected.
     let remaining = permit.remaining()?.min(ORDER_RESPONSE_TIMEOUT);
-    // If it fails, only a process that is stopped behind a partition discards nothing.
-    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(remaining.min(DELIVERY_TIMEOUT)));
+    limit_delivery(&stream, remaining);
     let mut connection = Connection::new(stream, pool, ());
     // Cancellation: an exchange that is dropped half way leaves the connection unusable; it is reset below.
     let response = tokio::select! {
@@ -170,6 +169,13 @@
     response
 }
 
+/// Has the kernel discard what a partition holds back of an order, also if this process is stopped: after the permit's
+/// rest, and after [`DELIVERY_TIMEOUT`] at the latest.
+fn limit_delivery(stream: &TcpStream, remaining: Duration) {
+    // If it fails, only a process that is stopped behind a partition discards nothing.
+    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(remaining.min(DELIVERY_TIMEOUT)));
+}
+
 async fn connect(address: SocketAddrV4) -> Option<TcpStream> {
     let socket = TcpSocket::new_v4().ok()?;
     timeout(CONNECT_TIMEOUT, socket.connect(address.into())).await.ok()?.ok()
@@ -208,3 +214,6 @@
     while !connection.read_body(&mut body, &mut bytes, usize::MAX).await.ok()? {}
     Some(HttpResponse { status, body: bytes.copy_front(bytes.len()) })
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/controlplane/src/server_client/tests.rs
@@ -0,0 +1,50 @@
+use std::io::ErrorKind;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use socket2::SockRef;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::time::timeout;
+
+use super::{DELIVERY_TIMEOUT, connect, limit_delivery};
+
+/// The kernel's buffers of both ends hold less than this.
+const MORE_THAN_BUFFERS: usize = 64 * 1024 * 1024;
+/// The kernel looks at its timers a few times in this.
+const KERNEL_SLACK: Duration = Duration::from_secs(20);
+
+#[gtest]
+#[tokio::test]
+async fn what_is_undelivered_lasts_no_longer_than_the_permit() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port is free");
+    let SocketAddr::V4(address) = listener.local_addr().expect("it is bound") else { panic!("no IPv4") };
+    for (remaining, limit) in
+        [(Duration::from_millis(120), Duration::from_millis(120)), (Duration::from_secs(3), DELIVERY_TIMEOUT)]
+    {
+        let stream = connect(address).await.expect("it listens");
+        limit_delivery(&stream, remaining);
+        expect_that!(SockRef::from(&stream).tcp_user_timeout().ok(), some(some(eq(limit))));
+    }
+}
+
+/// A server that takes no bytes stands for a partition: the kernel ends the connection by itself.
+#[gtest]
+#[tokio::test]
+async fn the_kernel_discards_what_is_not_delivered() {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a small window");
+    socket.bind((Ipv4Addr::LOCALHOST, 0).into()).expect("a port is free");
+    let listener = socket.listen(1).expect("it listens");
+    let SocketAddr::V4(address) = listener.local_addr().expect("it is bound") else { panic!("no IPv4") };
+    let mut stream = connect(address).await.expect("it listens");
+    let _unread = listener.accept().await.expect("it has connected");
+    limit_delivery(&stream, Duration::from_millis(100));
+    let written = timeout(KERNEL_SLACK, stream.write_all(&vec![7; MORE_THAN_BUFFERS])).await;
+    let ended = written.expect("the kernel gives up").map_err(|error| error.kind());
+    expect_that!(
+        ended,
+        err(any![eq(ErrorKind::TimedOut), eq(ErrorKind::BrokenPipe), eq(ErrorKind::ConnectionReset)])
+    );
+}
--- a/system/src/shutdown.rs
+++ b/system/src/shutdown.rs
@@ -38,3 +38,6 @@
     let hand_over = timeout(grace_period, ready_to_exit.notified());
     let (_, _) = tokio::join!(gradepaddle_dataplane::shut_down(plane, times, ready(())), hand_over);
 }
+
+#[cfg(test)]
+mod tests;
