--- a/dataplane/src/control_inputs.rs
+++ b/dataplane/src/control_inputs.rs
@@ -26,6 +26,7 @@
         self.placer.borrow_mut().set_services(now, service_specs(&configuration));
         info!(self.log, "configuration applied"; "version" => configuration.version);
         self.replace_configuration(Rc::new(configuration), hasher.finish());
+        self.update_idle_limits();
         update_subscriptions(self);
     }
 
@@ -39,6 +40,7 @@
     /// Sets the other nodes, all of them.
     pub fn set_peers(&self, peers: &[Peer]) {
         self.load_reports.recipients.borrow_mut().set_peers(peers);
+        self.set_node_count(peers.len() + 1);
     }
 
     /// Sets who reports to the other nodes whether a cache store answers; called where this node is the one to do so.
--- a/dataplane/src/data_plane.rs
+++ b/dataplane/src/data_plane.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gradepaddle_config::Configuration;
+use gradepaddle_config::{Configuration, ServiceKind};
 use gradepaddle_http::buffers::Pool;
 use gradepaddle_placement::{Micros, Placer};
 use slog::{Logger, info};
@@ -19,7 +19,7 @@
 use crate::key_validity::{KeyValidity, KeyValidityTracker};
 use crate::lifecycle::{Lifecycle, OpenRequestGuard, Phase};
 use crate::load_reports::state::{LoadReportCounters, LoadReports};
-use crate::upstream_pool::UpstreamPool;
+use crate::upstream_pool::{IdleLimits, UpstreamPool};
 
 /// What a data plane is built from.
 pub struct Setup {
@@ -27,6 +27,8 @@
     pub placer: Placer,
     /// The failure domain of this node.
     pub zone: Arc<str>,
+    /// How many descriptors the process may open (`openFiles`).
+    pub open_files: u64,
     /// Where to log.
     pub log: Logger,
 }
@@ -39,6 +41,9 @@
     pub counters: Counters,
     pub(crate) pool: Pool,
     pub(crate) upstreams: UpstreamPool,
+    open_files: u64,
+    /// All nodes, this one included.
+    node_count: Cell<usize>,
     pub(crate) log: Logger,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) key_validity: KeyValidityTracker,
@@ -63,7 +68,9 @@
             placer: RefCell::new(setup.placer),
             counters: Counters::default(),
             pool: Pool::default(),
-            upstreams: UpstreamPool::new(),
+            upstreams: UpstreamPool::new(IdleLimits::new(setup.open_files, 1, std::iter::empty())),
+            open_files: setup.open_files,
+            node_count: Cell::new(1),
             log: setup.log,
             lifecycle: Lifecycle::new(),
             key_validity: KeyValidityTracker::default(),
@@ -105,6 +112,23 @@
         self.configured.send_replace(true);
     }
 
+    /// Sets how many nodes there are, this one included.
+    pub(crate) fn set_node_count(&self, nodes: usize) {
+        self.node_count.set(nodes);
+        self.update_idle_limits();
+    }
+
+    /// Divides the connections that servers accept, and this process's descriptors.
+    pub(crate) fn update_idle_limits(&self) {
+        let configuration = self.configuration.borrow();
+        let services = configuration.iter().flat_map(|configuration| &configuration.services);
+        let max_connections = services.filter_map(|service| match &service.kind {
+            ServiceKind::Servers { max_connections, .. } => *max_connections,
+            ServiceKind::Store { .. } => None,
+        });
+        self.upstreams.set_limits(IdleLimits::new(self.open_files, self.node_count.get(), max_connections));
+    }
+
     /// The hash of the set of isolated tenants. It salts the cached prefixes of all other tenants, so that none that was
     /// made while a tenant was not yet isolated is reused.
     pub(crate) fn shared_isolation(&self) -> u64 {
--- a/dataplane/src/upstream_pool.rs
+++ b/dataplane/src/upstream_pool.rs
@@ -1,6 +1,6 @@
 //! Connections to servers: idle ones by server, and new ones. How long an idle one is reused is learned.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -20,6 +20,33 @@
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 /// Idle connections kept for each server at most.
 const MAX_IDLE_PER_SERVER: usize = 16;
+/// Descriptors of a process that the platform reserves for files outside its disk folder (`DEPLOY.md`).
+const RESERVED_DESCRIPTORS: u64 = 200;
+/// One in this many of the other descriptors may be an idle connection to a server.
+const IDLE_DESCRIPTOR_SHARE: u64 = 4;
+/// One in this many of the connections that a server accepts may be idle, summed over all nodes.
+const IDLE_CONNECTION_SHARE: usize = 2;
+
+/// How many idle connections are kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct IdleLimits {
+    /// To each server.
+    pub per_server: usize,
+    /// To all servers.
+    pub total: usize,
+}
+
+impl IdleLimits {
+    /// The limits of one of `nodes` nodes that may open `open_files` descriptors. `max_connections` is what each server
+    /// accepts from all nodes, by its service; 0 where it names no limit.
+    pub fn new(open_files: u64, nodes: usize, max_connections: impl Iterator<Item = u32>) -> Self {
+        let fewest = max_connections.filter(|most| *most > 0).min();
+        let share =
+            fewest.map_or(MAX_IDLE_PER_SERVER, |most| most as usize / IDLE_CONNECTION_SHARE / nodes.max(1));
+        let total = open_files.saturating_sub(RESERVED_DESCRIPTORS) / IDLE_DESCRIPTOR_SHARE;
+        IdleLimits { per_server: share.clamp(1, MAX_IDLE_PER_SERVER), total: total as usize }
+    }
+}
 
 /// An idle connection.
 struct IdleConnection {
@@ -32,6 +59,7 @@
 /// Idle connections to all servers.
 pub(crate) struct UpstreamPool {
     idle: RefCell<HashMap<Arc<str>, Vec<IdleConnection>>>,
+    limits: Cell<IdleLimits>,
     idle_reuse: IdleReuse,
 }
 
@@ -45,8 +73,22 @@
 
 impl UpstreamPool {
     /// A pool without connections.
-    pub fn new() -> Self {
-        UpstreamPool { idle: RefCell::default(), idle_reuse: IdleReuse::new(Instant::now()) }
+    pub fn new(limits: IdleLimits) -> Self {
+        UpstreamPool {
+            idle: RefCell::default(),
+            limits: Cell::new(limits),
+            idle_reuse: IdleReuse::new(Instant::now()),
+        }
+    }
+
+    /// Sets how many connections are kept from now on. What is kept beyond that expires by itself.
+    pub fn set_limits(&self, limits: IdleLimits) {
+        self.limits.set(limits);
+    }
+
+    /// The idle connections to all servers.
+    fn idle_count(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
     }
 
     /// The idle connection to this server that was used last and may be reused.
@@ -76,9 +118,14 @@
     }
 
     /// Takes a connection back whose response was read to its end; `head` is the head of that response. A connection that
-    /// can bear no other request is closed.
+    /// can bear no other request, or is beyond the limits, is closed.
     pub fn release(&self, id: &Arc<str>, connection: Connection, head: &Head) {
-        if !head.keeps_alive() || connection.has_input() || connection.has_unsent() {
+        let limits = self.limits.get();
+        if self.idle_count() >= limits.total
+            || !head.keeps_alive()
+            || connection.has_input()
+            || connection.has_unsent()
+        {
             return;
         }
         let now = Instant::now();
@@ -86,7 +133,7 @@
             now + keep_alive(head).unwrap_or(DEFAULT_IDLE_TIMEOUT).saturating_sub(IDLE_TIMEOUT_MARGIN);
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(id.clone()).or_default();
-        if connections.len() < MAX_IDLE_PER_SERVER {
+        if connections.len() < limits.per_server {
             connections.push(IdleConnection { connection, since: now, expires });
         }
     }
@@ -119,3 +166,6 @@
     let seconds = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
+
+#[cfg(test)]
+mod tests;
--- a/dataplane/tests/common/harness.rs
+++ b/dataplane/tests/common/harness.rs
@@ -73,6 +73,7 @@
             .start_margin(options.begin_margin)
             .build();
         let plane = DataPlane::new(Setup {
+            open_files: 4_100,
             placer: Placer::new(config),
             zone: "".into(),
             log: Logger::root(Discard, o!()),
--- a/dataplane/tests/golden.rs
+++ b/dataplane/tests/golden.rs
@@ -509,6 +509,7 @@
 #[gtest]
 fn load_reports_that_a_node_forwards() {
     let plane = DataPlane::new(Setup {
+        open_files: 4_100,
         placer: Placer::new(PlacementConfig::builder().build()),
         zone: "zone-0".into(),
         log: Logger::root(Discard, o!()),
--- a/dataplane/tests/load_reports.rs
+++ b/dataplane/tests/load_reports.rs
@@ -135,6 +135,7 @@
 /// A data plane in zone 0 of a fleet of ten nodes in two zones, itself node 0.
 fn plane() -> std::rc::Rc<DataPlane> {
     let plane = DataPlane::new(Setup {
+        open_files: 4_100,
         placer: Placer::new(PlacementConfig::builder().build()),
         zone: zone(0, 2),
         log: Logger::root(Discard, o!()),
--- a/system/src/main.rs
+++ b/system/src/main.rs
@@ -12,6 +12,7 @@
 mod planes;
 mod random;
 mod run;
+mod settings_file;
 mod shutdown;
 mod status;
 
--- a/system/src/planes.rs
+++ b/system/src/planes.rs
@@ -36,7 +36,12 @@
         .retry_slack(bounds.retry_slack)
         .retry_window(micros(bounds.retry_window))
         .build();
-    DataPlane::new(Setup { placer: Placer::new(engine), zone: Arc::from(&*settings.zone), log: log.clone() })
+    DataPlane::new(Setup {
+        placer: Placer::new(engine),
+        zone: Arc::from(&*settings.zone),
+        open_files: settings.limits.open_files,
+        log: log.clone(),
+    })
 }
 
 /// The control plane. Its incarnation is the time of day; where an earlier process at this address was ahead, the session
--- a/system/src/run.rs
+++ b/system/src/run.rs
@@ -1,12 +1,12 @@
 //! A node as a process: start, signals, shutdown.
 
 use std::cell::RefCell;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use gradepaddle_config::Settings;
+use gradepaddle_config::{Findings, Settings};
 use gradepaddle_controlplane::api_server::serve_api;
 use gradepaddle_controlplane::clock::Clock;
 use gradepaddle_controlplane::driver::{Driver, DriverChannels, DriverEvent};
@@ -25,10 +25,13 @@
 use crate::effects::NodeEffects;
 use crate::error::{CommandError, NoSettingsSnafu, RuntimeSnafu};
 use crate::listeners::{Listeners, peer_address, seed_addresses};
+use crate::settings_file::SettingsFile;
 use crate::{control_store, logging, planes, shutdown};
 
 /// The variable that names the settings file.
 const SETTINGS_VARIABLE: &str = "GRADEPADDLE_BOOT";
+/// The settings file may change without a signal: how often it is looked at.
+const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval of the closing of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -89,11 +92,17 @@
     tokio::task::spawn_local(receive_load_reports(plane.clone(), listeners.load_reports.clone()));
     tokio::task::spawn_local(send_load_reports(plane.clone(), listeners.load_reports));
     info!(log, "node started"; "zone" => &settings.zone, "first_boot" => settings.first_boot);
+    let mut settings_file = SettingsFile::new(file);
     loop {
-        // Cancellation: a signal that comes meanwhile is kept by tokio.
+        // Cancellation: a signal that comes meanwhile is kept by tokio, and the sleep is set anew.
         tokio::select! {
             _ = signals.terminate.recv() => break,
-            _ = signals.hangup.recv() => reload(&file, &events, &log),
+            _ = signals.hangup.recv() => apply_settings(settings_file.reload(), &events, &log),
+            () = sleep(SETTINGS_POLL_INTERVAL) => {
+                if let Some(changed) = settings_file.reload_if_changed() {
+                    apply_settings(changed, &events, &log);
+                }
+            }
         }
     }
     info!(log, "shutdown started");
@@ -116,9 +125,13 @@
     }
 }
 
-/// SIGHUP: takes over the seeds, the only setting that may change while the process runs.
-fn reload(file: &Path, events: &mpsc::UnboundedSender<DriverEvent>, log: &Logger) {
-    match Settings::load(file) {
+/// Takes over the seeds, the only setting that may change while the process runs.
+fn apply_settings(
+    reloaded: Result<Settings, Findings>,
+    events: &mpsc::UnboundedSender<DriverEvent>,
+    log: &Logger,
+) {
+    match reloaded {
         Ok(settings) => {
             // Without a driver the process is about to exit.
             let _ = events.send(DriverEvent::Input(Input::SeedsChanged(seed_addresses(&settings))));
