--- a/control/tests/slow_links/mod.rs
+++ b/control/tests/slow_links/mod.rs
@@ -91,6 +91,8 @@
     operator: Operator,
     /// When changes were acknowledged, by version.
     pub acknowledged: BTreeMap<u64, u64>,
+    /// How long each acknowledged change took, from its proposal on.
+    pub commit_latencies: Vec<u64>,
     /// The longest send queue so far, in bytes.
     pub most_queued: usize,
     /// Partitioned machines.
@@ -108,6 +110,7 @@
             losses,
             operator: Operator::default(),
             acknowledged: BTreeMap::new(),
+            commit_latencies: Vec::new(),
             most_queued: 0,
             cut: Vec::new(),
         };
@@ -408,7 +411,8 @@
     fn answered(&mut self, proposal_id: ProposalId, outcome: Outcome) {
         match outcome {
             Outcome::Committed => {
-                if self.operator.asked.is_some_and(|(asked, _)| asked == proposal_id) {
+                if let Some((_, since)) = self.operator.asked.filter(|(asked, _)| *asked == proposal_id) {
+                    self.commit_latencies.push(self.now - since);
                     self.operator.version += 1;
                     self.acknowledged.insert(self.operator.version, self.now);
                     // The next one is proposed once the pause has passed.
