--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -26,6 +26,7 @@
 mod acceptor;
 mod campaign;
 mod config;
+mod disaster_recovery;
 mod disk;
 mod durability;
 mod election;
@@ -58,6 +59,7 @@
 mod view_change;
 
 pub use config::ReplicaConfig;
+pub use disaster_recovery::{EPOCH_GAP, RecoveryError, RecoveryPlan, RecoverySource, plan_recovery};
 pub use fault_injection::FaultInjection;
 #[cfg(feature = "fault-injection")]
 pub use fault_injection::InjectedFault;
--- a/control/src/next_view.rs
+++ b/control/src/next_view.rs
@@ -7,11 +7,13 @@
 impl Campaign {
     /// The next view, with backups among the members that have promised and aren't excluded.
     ///
-    /// A planned change of members is deferred if it would leave the primary without a backup.
+    /// A planned change of members is deferred if it would leave the primary without a backup, unless the base view has
+    /// no other member that could be one: it would never grow. The joiner becomes a backup in the view after.
     pub fn next_view(&self, me: &Member, excluded: &BTreeSet<ReplicaId>, losses: usize) -> View {
         let membership = self.membership.as_ref().filter(|_| self.base_view.active);
         let wished = self.compose(membership, me, excluded, losses);
-        let alone = wished.backups.is_empty() && wished.members.len() > 1;
+        let grows_from_one = self.base_view.view.members.len() == 1;
+        let alone = wished.backups.is_empty() && wished.members.len() > 1 && !grows_from_one;
         if alone { self.compose(None, me, excluded, losses) } else { wished }
     }
 
--- a/control/tests/membership.rs
+++ b/control/tests/membership.rs
@@ -253,3 +253,20 @@
     expect_that!(size(&cluster), eq(4));
     expect_that!(cluster.view(0).view.target_size, eq(3));
 }
+
+#[gtest]
+fn a_view_of_one_member_grows_and_gets_a_backup() {
+    let mut cluster = Cluster::bootstrapped(1, 1);
+    cluster.run(1_000);
+    expect_that!(cluster.leader(), some(eq(0)));
+    for count in 2..=3 {
+        let joiner = cluster.add(true);
+        cluster.run(6_000);
+        expect_that!(cluster.members(), contains(eq(&joiner)));
+        expect_that!(cluster.members().len(), eq(count));
+        expect_that!(cluster.backups().len(), eq(1));
+    }
+    cluster.crash(0);
+    cluster.run(6_000);
+    expect_that!(cluster.leader(), some(not(eq(0))), "the first member may be lost now");
+}
--- a/system/src/command.rs
+++ b/system/src/command.rs
@@ -48,6 +48,19 @@
         #[bpaf(positional("ADDRESS"))]
         address: SocketAddrV4,
     },
+    /// Let a stopped node go on alone with the control state on its disk, once a majority is lost for good
+    #[bpaf(command("recover-state"))]
+    RecoverState {
+        /// Begin with an empty state: all machines that held one are lost
+        #[bpaf(long("from-nothing"))]
+        from_nothing: bool,
+        /// Write; without it the plan is only printed
+        #[bpaf(long("accept-loss"))]
+        accept_loss: bool,
+        /// The settings file of the stopped node (TOML)
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
 }
 
 /// Reads the command line; on a wrong one, or if help is asked for, says so and ends the program.
--- a/system/src/error.rs
+++ b/system/src/error.rs
@@ -63,6 +63,21 @@
         /// The error of the operating system.
         source: std::io::Error,
     },
+    /// The settings name no disk that keeps the control state.
+    #[snafu(display("the settings name no disk that counts (dataPath, lossCounts): nothing is kept there"))]
+    NoDisk,
+    /// The disk with the control state fails.
+    #[snafu(display("the control state can't be opened or written: {source}"))]
+    Store {
+        /// The error of the store.
+        source: gradepaddle_store::StoreError,
+    },
+    /// What is stored can't be recovered from.
+    #[snafu(display("can't recover: {source}"))]
+    Recovery {
+        /// Why.
+        source: gradepaddle_control::RecoveryError,
+    },
     /// A node does not respond.
     #[snafu(display("{address} does not answer; is it a control address?"))]
     NoAnswer {
--- a/system/src/main.rs
+++ b/system/src/main.rs
@@ -11,6 +11,7 @@
 mod logging;
 mod planes;
 mod random;
+mod recover;
 mod run;
 mod settings_file;
 mod shutdown;
@@ -19,6 +20,7 @@
 use std::process::ExitCode;
 
 use command::Command;
+use recover::RecoveryRequest;
 
 fn main() -> ExitCode {
     let done = match command::parse() {
@@ -27,6 +29,9 @@
         Command::CheckConfiguration { file, current } => check::configuration(&file, current),
         Command::Diff { old, new } => check::diff(&old, &new),
         Command::Status { address } => status::print(address),
+        Command::RecoverState { from_nothing, accept_loss, file } => {
+            recover::recover(&file, RecoveryRequest { from_nothing, accept_loss })
+        }
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/system/tests/command_line/fleet.rs
+++ b/system/tests/command_line/fleet.rs
@@ -123,6 +123,16 @@
         Ok(())
     }
 
+    /// The settings file of a node.
+    pub fn settings_file(&self, node: usize) -> String {
+        self.scratch.path(&format!("node-{node}.toml"))
+    }
+
+    /// Takes the disk of a node that does not run.
+    pub fn wipe(&self, node: usize) -> Result<()> {
+        Ok(std::fs::remove_dir_all(self.scratch.path(&format!("data-{node}")))?)
+    }
+
     fn log(&self, node: usize) -> String {
         let path = self.scratch.path(&format!("node-{node}-true.log"));
         std::fs::read_to_string(path).unwrap_or_default()
