--- a/system/tests/command_line.rs
+++ b/system/tests/command_line.rs
@@ -1,6 +1,7 @@
 //! The program as its users start it: checks of files, and a small fleet of real processes.
 
 #[path = "command_line/fleet.rs"]
+#[allow(dead_code, reason = "tests/recover_state.rs uses the rest")]
 mod fleet;
 #[path = "command_line/program.rs"]
 mod program;
