--- a/controlplane/src/driver.rs
+++ b/controlplane/src/driver.rs
@@ -15,7 +15,7 @@
 use crate::api::{Call, Response};
 use crate::clock::Clock;
 use crate::inbox::{DroppedMessages, InboxReceiver};
-use crate::node::{ConfigurationValidity, Event, Input, MemberNode, Node, Output};
+use crate::node::{CallId, ConfigurationValidity, Event, Input, MemberNode, Node, Output};
 use crate::order::Order;
 use crate::server_client::{self, OrderPermit};
 use crate::transport::Transport;
@@ -78,7 +78,7 @@
     clock: Clock,
     /// The epoch in which this node is the primary, if it is: orders on their way watch it.
     primary_epoch: watch::Sender<Option<u64>>,
-    pending_calls: HashMap<u64, oneshot::Sender<Response>>,
+    pending_calls: HashMap<CallId, oneshot::Sender<Response>>,
     last_call_id: u64,
 }
 
@@ -167,7 +167,7 @@
             DriverEvent::Input(input) => self.handle(input, out),
             DriverEvent::Call(call, reply) => {
                 self.last_call_id += 1;
-                let call_id = self.last_call_id;
+                let call_id = CallId(self.last_call_id);
                 self.pending_calls.insert(call_id, reply);
                 self.handle(Input::Call { call_id, call }, out);
             }
--- a/controlplane/src/node.rs
+++ b/controlplane/src/node.rs
@@ -7,7 +7,7 @@
 mod staleness;
 mod status;
 
-pub use messages::{ConfigurationValidity, Event, Input, MemberNode, Output};
+pub use messages::{CallId, ConfigurationValidity, Event, Input, MemberNode, Output};
 pub use status::Status;
 
 use std::net::SocketAddrV4;
@@ -221,7 +221,7 @@
             }
             ReplicaOutput::Persist { write_id, records } => out.push(Output::Persist { write_id, records }),
             ReplicaOutput::Answer { proposal_id, outcome } => {
-                self.handle_decision(now, proposal_id.0, outcome, out);
+                self.handle_decision(now, proposal_id, outcome, out);
             }
             ReplicaOutput::Committed { state } => self.publish_committed(now, &state, out),
             ReplicaOutput::BecamePrimary { epoch } => {
@@ -248,10 +248,10 @@
                 }
                 GossipOutput::Changed(item) => self.handle_item(now, &item, out),
                 GossipOutput::Acknowledged { publish_id } => {
-                    self.handle_acknowledgment(publish_id, true, out);
+                    self.handle_acknowledgment(CallId(publish_id), true, out);
                 }
                 GossipOutput::AcknowledgmentFailed { publish_id } => {
-                    self.handle_acknowledgment(publish_id, false, out);
+                    self.handle_acknowledgment(CallId(publish_id), false, out);
                 }
             }
         }
--- a/controlplane/src/node/api_calls.rs
+++ b/controlplane/src/node/api_calls.rs
@@ -9,7 +9,7 @@
 use gradepaddle_gossip::{ReplicationFactor, Stamp};
 use gradepaddle_proto::{Content, ControlCall, ForwardedCall, ForwardedReply};
 
-use super::{Node, Output};
+use super::{CallId, Node, Output};
 use crate::Micros;
 use crate::api::{Call, Response, fingerprint_number, invalid, patch_fingerprint_number};
 use crate::item_kinds::{self, CONFIGURATION, CONFIGURATION_KEY, MODEL_VERSION};
@@ -23,21 +23,26 @@
 /// So much longer for each byte of its body, which has to reach the primary and its backups first.
 const CALL_TIMEOUT_PER_BYTE: Micros = 1;
 
+/// Names a call that waits for a decision at this node, in messages to the primary and in proposals. It also names queries
+/// between nodes, so that no two messages of one process have the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct PendingCallId(u64);
+
 /// Where the response to a call goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Caller {
     /// A caller at this node, by the driver's call id.
-    Local(u64),
-    /// The node that forwarded the call, with its own call id.
-    Peer(SocketAddrV4, u64),
+    Local(CallId),
+    /// The node that forwarded the call, with that node's own id of it.
+    Peer(SocketAddrV4, PendingCallId),
 }
 
 /// The calls at a node that have no response yet.
 pub(super) struct PendingCalls {
     /// Calls that wait for a decision, by this node's own call ids.
-    pending: BTreeMap<u64, PendingCall>,
+    pending: BTreeMap<PendingCallId, PendingCall>,
     /// Publications that other nodes have to acknowledge, by the driver's call ids.
-    publications: HashMap<u64, PendingPublication>,
+    publications: HashMap<CallId, PendingPublication>,
     last_id: u64,
 }
 
@@ -53,8 +58,8 @@
         self.last_id
     }
 
-    fn add(&mut self, pending: PendingCall) -> u64 {
-        let id = self.next_id();
+    fn add(&mut self, pending: PendingCall) -> PendingCallId {
+        let id = PendingCallId(self.next_id());
         self.pending.insert(id, pending);
         id
     }
@@ -76,7 +81,7 @@
 }
 
 impl Node {
-    pub(super) fn handle_call(&mut self, now: Micros, call_id: u64, call: Call, out: &mut Vec<Output>) {
+    pub(super) fn handle_call(&mut self, now: Micros, call_id: CallId, call: Call, out: &mut Vec<Output>) {
         match call {
             Call::Heartbeat { id, heartbeat } => {
                 let decision = self.registry.heartbeat(now, &id, &heartbeat, &self.gossip);
@@ -107,7 +112,7 @@
     fn publish_registration(
         &mut self,
         now: Micros,
-        call_id: u64,
+        call_id: CallId,
         decision: Decision,
         pending: PendingPublication,
         out: &mut Vec<Output>,
@@ -123,7 +128,7 @@
                 self.calls.publications.insert(call_id, pending);
                 let core = self.other_control_balancers();
                 let copies = self.required_copies(&core);
-                self.gossip.publish_acknowledged(now, item, call_id, copies, &mut results);
+                self.gossip.publish_acknowledged(now, item, call_id.0, copies, &mut results);
             }
         }
         self.handle_gossip_outputs(now, results, out);
@@ -146,7 +151,12 @@
         ReplicationFactor { count: self.machine_losses + 1, group: core, inside, outside }
     }
 
-    pub(super) fn handle_acknowledgment(&mut self, call_id: u64, acknowledged: bool, out: &mut Vec<Output>) {
+    pub(super) fn handle_acknowledgment(
+        &mut self,
+        call_id: CallId,
+        acknowledged: bool,
+        out: &mut Vec<Output>,
+    ) {
         let pending = self.calls.publications.remove(&call_id);
         if !acknowledged {
             let response = Response::unavailable("no other node holds it yet");
@@ -176,8 +186,8 @@
         let primary = self.session.view().primary.filter(|primary| *primary != self.own);
         match primary {
             Some(primary) if may_forward => {
-                let ticket = self.calls.add(PendingCall::new(now, caller, primary, &call));
-                let content = Content::ForwardedCall(ForwardedCall { call_id: ticket, call });
+                let id = self.calls.add(PendingCall::new(now, caller, primary, &call));
+                let content = Content::ForwardedCall(ForwardedCall { call_id: id.0, call });
                 out.push(Output::Send { to: primary, content });
             }
             _ => respond(now, caller, Response::unavailable("no primary is known"), out),
@@ -210,7 +220,7 @@
                 Change::NameVersion { model: model.to_string(), version }
             }
         };
-        let proposal_id = ProposalId(self.calls.add(pending));
+        let proposal_id = ProposalId(self.calls.add(pending).0);
         self.step_replica(now, ReplicaInput::Propose { proposal_id, change }, out);
     }
 
@@ -261,11 +271,11 @@
     pub(super) fn handle_decision(
         &mut self,
         now: Micros,
-        call_id: u64,
+        proposal_id: ProposalId,
         outcome: Outcome,
         out: &mut Vec<Output>,
     ) {
-        let Some(pending) = self.calls.pending.remove(&call_id) else { return };
+        let Some(pending) = self.calls.pending.remove(&PendingCallId(proposal_id.0)) else { return };
         let lease = self.replica.as_ref().and_then(|replica| replica.lease(now));
         let lease_end = lease.map_or(now, |lease| lease.until);
         respond(now, pending.caller, response_to(outcome).before(lease_end.min(pending.until)), out);
@@ -278,7 +288,7 @@
         forwarded: ForwardedCall,
         out: &mut Vec<Output>,
     ) {
-        self.decide(now, Caller::Peer(from, forwarded.call_id), forwarded.call, false, out);
+        self.decide(now, Caller::Peer(from, PendingCallId(forwarded.call_id)), forwarded.call, false, out);
     }
 
     /// Handles the reply to a forwarded call, if it comes from the node to which that was forwarded. The primary's lease
@@ -291,11 +301,12 @@
         reply: &ForwardedReply,
         out: &mut Vec<Output>,
     ) {
-        let expected = self.calls.pending.get(&reply.call_id).is_some_and(|pending| pending.decider == from);
+        let id = PendingCallId(reply.call_id);
+        let expected = self.calls.pending.get(&id).is_some_and(|pending| pending.decider == from);
         if !expected {
             return;
         }
-        let Some(pending) = self.calls.pending.remove(&reply.call_id) else { return };
+        let Some(pending) = self.calls.pending.remove(&id) else { return };
         let lease_end = pending.since.saturating_add(reply.lease_remaining);
         let response = Response { status: reply.status, body: reply.body.clone(), valid_until: None };
         respond(now, pending.caller, response.before(lease_end.min(pending.until)), out);
@@ -304,9 +315,9 @@
     /// Responds to calls that have waited for too long.
     pub(super) fn tick_pending_calls(&mut self, now: Micros, out: &mut Vec<Output>) {
         let timed_out = self.calls.pending.iter().filter(|(_, pending)| pending.until <= now);
-        let timed_out: Vec<u64> = timed_out.map(|(call_id, _)| *call_id).collect();
-        for call_id in timed_out {
-            if let Some(pending) = self.calls.pending.remove(&call_id) {
+        let timed_out: Vec<PendingCallId> = timed_out.map(|(id, _)| *id).collect();
+        for id in timed_out {
+            if let Some(pending) = self.calls.pending.remove(&id) {
                 let response = Response::unavailable("the primary did not answer in time");
                 respond(now, pending.caller, response, out);
             }
@@ -342,7 +353,7 @@
     }
 }
 
-fn success(call_id: u64) -> Output {
+fn success(call_id: CallId) -> Output {
     Output::Respond { call_id, response: Response::bare(200) }
 }
 
@@ -374,10 +385,10 @@
     let response = response.at(now);
     match caller {
         Caller::Local(call_id) => out.push(Output::Respond { call_id, response }),
-        Caller::Peer(to, ticket) => {
+        Caller::Peer(to, PendingCallId(call_id)) => {
             let Response { status, body, valid_until } = response;
             let lease_remaining = valid_until.map_or(0, |until| until - now);
-            let reply = ForwardedReply { call_id: ticket, status, body, lease_remaining };
+            let reply = ForwardedReply { call_id, status, body, lease_remaining };
             out.push(Output::Send { to, content: Content::ForwardedReply(reply) });
         }
     }
--- a/controlplane/src/node/messages.rs
+++ b/controlplane/src/node/messages.rs
@@ -12,6 +12,11 @@
 use crate::order::{Order, OrderOutcome};
 use crate::rollout::Reservation;
 
+/// Names a call of a server or an operator at one node, given by its driver. Calls that are forwarded between nodes have ids
+/// of their own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
 /// An input of a node.
 pub enum Input {
     /// Time has passed.
@@ -21,7 +26,7 @@
     /// A server or an operator calls.
     Call {
         /// Names the call in [`Output::Respond`].
-        call_id: u64,
+        call_id: CallId,
         /// The call.
         call: Call,
     },
@@ -99,7 +104,7 @@
     /// Respond to a call.
     Respond {
         /// The call.
-        call_id: u64,
+        call_id: CallId,
         /// The response.
         response: Response,
     },
--- a/controlplane/tests/golden.rs
+++ b/controlplane/tests/golden.rs
@@ -21,7 +21,7 @@
     CACHE_STORE, CONFIGURATION, CONFIGURATION_KEY, Evidence, MODEL_VERSION, RESERVATION, SERVER,
     SERVER_REMOVED, SESSION, next_minor, server_stamp,
 };
-use gradepaddle_controlplane::node::{Input, Output};
+use gradepaddle_controlplane::node::{CallId, Input, Output};
 use gradepaddle_controlplane::order::Order;
 use gradepaddle_controlplane::rollout::{Reservation, Rollout, Step};
 use gradepaddle_controlplane::server_client::{self, OrderPermit};
@@ -42,7 +42,7 @@
 
 const CONFIGURATION_BODY: &str = include_str!("../../examples/system/configuration.json");
 /// Names the calls of these tests; nodes know no other so high.
-const TICKET: u64 = 1 << 40;
+const CALL_ID: CallId = CallId(1 << 40);
 
 /// Answers calls that come over HTTP.
 type Decide = Box<dyn FnMut(Call) -> Option<Response>>;
@@ -271,9 +271,9 @@
     for machine in &mut world.machines {
         let process = machine.process.as_mut().expect("it runs");
         let (clock, mut out) = (process.clock(now), Vec::new());
-        process.node.handle(clock, Input::Call { call_id: TICKET, call: Call::Status }, &mut out);
+        process.node.handle(clock, Input::Call { call_id: CALL_ID, call: Call::Status }, &mut out);
         let body = out.into_iter().find_map(|output| match output {
-            Output::Respond { call_id: TICKET, response } => Some(response.body),
+            Output::Respond { call_id: CALL_ID, response } => Some(response.body),
             _ => None,
         });
         let state: serde_json::Value = serde_json::from_slice(&body.or_fail()?)?;
--- a/controlplane/tests/golden/lone_node.rs
+++ b/controlplane/tests/golden/lone_node.rs
@@ -6,7 +6,7 @@
 use gradepaddle_control::{RecoveredState, Replica, ReplicaConfig, ReplicaId};
 use gradepaddle_controlplane::api::{Call, Response};
 use gradepaddle_controlplane::bootstrap::Bootstrap;
-use gradepaddle_controlplane::node::{Input, Node, NodeSetup, Output};
+use gradepaddle_controlplane::node::{CallId, Input, Node, NodeSetup, Output};
 use gradepaddle_controlplane::session_client::SessionClient;
 use gradepaddle_controlplane::version_announcement::VersionDeadlines;
 use gradepaddle_controlplane::{CLOCK_START, Micros};
@@ -15,7 +15,7 @@
 
 const SECOND: Micros = 1_000_000;
 /// Names the calls of these tests.
-const TICKET: u64 = 1 << 40;
+const CALL_ID: CallId = CallId(1 << 40);
 
 /// Where the nodes are reached.
 pub fn address(number: u8) -> SocketAddrV4 {
@@ -85,9 +85,9 @@
                     Output::Send { content: Content::Gossip(Message::Push { items, .. }), .. } => {
                         self.pushed.extend(items.into_iter().map(|aged| aged.item));
                     }
-                    Output::Respond { call_id: TICKET, response } => {
+                    Output::Respond { call_id: CALL_ID, response } => {
                         self.answers.push(response.clone());
-                        answers.push(Output::Respond { call_id: TICKET, response });
+                        answers.push(Output::Respond { call_id: CALL_ID, response });
                     }
                     other => answers.push(other),
                 }
@@ -116,9 +116,9 @@
 
     /// Makes a call and gives its answer, if that comes at once.
     pub fn call(&mut self, call: Call) -> Option<Response> {
-        let out = self.hand(Input::Call { call_id: TICKET, call });
+        let out = self.hand(Input::Call { call_id: CALL_ID, call });
         out.into_iter().find_map(|output| match output {
-            Output::Respond { call_id: TICKET, response } => Some(response),
+            Output::Respond { call_id: CALL_ID, response } => Some(response),
             _ => None,
         })
     }
--- a/controlplane/tests/leases.rs
+++ b/controlplane/tests/leases.rs
@@ -13,7 +13,7 @@
 use gradepaddle_controlplane::api_server::serve_api;
 use gradepaddle_controlplane::clock::Clock;
 use gradepaddle_controlplane::driver::DriverEvent;
-use gradepaddle_controlplane::node::{Input, Node, Output};
+use gradepaddle_controlplane::node::{CallId, Input, Node, Output};
 use gradepaddle_controlplane::order::{Order, OrderOutcome};
 use gradepaddle_controlplane::server_client::{self, OrderPermit};
 use gradepaddle_controlplane::{CLOCK_START, Micros};
@@ -27,7 +27,7 @@
 use tokio::time::Instant;
 
 /// Names the calls of these tests; nodes know no other so high.
-const TICKET: u64 = 1 << 40;
+const CALL_ID: CallId = CallId(1 << 40);
 /// No lease lasts longer.
 const LEASE: Micros = 1_500 * MS;
 
@@ -66,7 +66,7 @@
     }
 
     fn call(&mut self, node: usize, call: Call) -> Vec<Output> {
-        self.hand(node, 0, Input::Call { call_id: TICKET, call })
+        self.hand(node, 0, Input::Call { call_id: CALL_ID, call })
     }
 
     fn address(&self, node: usize) -> SocketAddrV4 {
@@ -80,7 +80,7 @@
 
 fn answer(out: &[Output]) -> Option<Response> {
     out.iter().find_map(|output| match output {
-        Output::Respond { call_id: TICKET, response } => Some(response.clone()),
+        Output::Respond { call_id: CALL_ID, response } => Some(response.clone()),
         _ => None,
     })
 }
--- a/controlplane/tests/regressions.rs
+++ b/controlplane/tests/regressions.rs
@@ -12,7 +12,7 @@
 use gradepaddle_controlplane::Micros;
 use gradepaddle_controlplane::api::Call;
 use gradepaddle_controlplane::item_kinds::{self, Evidence, SERVER, SESSION};
-use gradepaddle_controlplane::node::{Input, Node, NodeSetup, Output};
+use gradepaddle_controlplane::node::{CallId, Input, Node, NodeSetup, Output};
 use gradepaddle_controlplane::order::OrderOutcome;
 use gradepaddle_controlplane::rollout::{Reservation, Rollout, Servers, Step};
 use gradepaddle_controlplane::session_client::SessionClient;
@@ -69,7 +69,7 @@
         self.hand(Input::Envelope(Envelope { from: address(3), content }))
     }
 
-    fn answers(out: &[Output], wanted: u64) -> Vec<u16> {
+    fn answers(out: &[Output], wanted: CallId) -> Vec<u16> {
         let status = |output: &Output| match output {
             Output::Respond { call_id, response } if *call_id == wanted => Some(response.status),
             _ => None,
@@ -156,13 +156,13 @@
     node.learn(among_others());
     node.wait(SECOND);
     node.learn(vec![server_of(2)]);
-    let leave = |ticket| Input::Call { call_id: ticket, call: Call::Leave { id: "s".to_owned() } };
-    let mut out = node.hand(leave(1));
+    let leave = |call_id| Input::Call { call_id, call: Call::Leave { id: "s".to_owned() } };
+    let mut out = node.hand(leave(CallId(1)));
     out.extend(node.wait(3 * SECOND));
-    verify_that!(Driven::answers(&out, 1), elements_are![eq(&503)])?;
-    let mut out = node.hand(leave(2));
+    verify_that!(Driven::answers(&out, CallId(1)), elements_are![eq(&503)])?;
+    let mut out = node.hand(leave(CallId(2)));
     out.extend(node.wait(100 * MS));
-    verify_that!(Driven::answers(&out, 2), not(contains(eq(&200))))
+    verify_that!(Driven::answers(&out, CallId(2)), not(contains(eq(&200))))
 }
 
 /// A primary's roll-out over servers `s0`, `s1`, ... at version 1 while version 2 is announced.
--- a/controlplane/tests/response_matching.rs
+++ b/controlplane/tests/response_matching.rs
@@ -12,7 +12,7 @@
 use googletest::prelude::*;
 use gradepaddle_controlplane::Micros;
 use gradepaddle_controlplane::api::Call;
-use gradepaddle_controlplane::node::{Input, Node, NodeSetup, Output};
+use gradepaddle_controlplane::node::{CallId, Input, Node, NodeSetup, Output};
 use gradepaddle_controlplane::order::{MAX_ORDER_DURATION, Order, OrderOutcome};
 use gradepaddle_controlplane::rollout::{Reservation, Rollout, Servers, Step};
 use gradepaddle_controlplane::server_client::{self, OrderPermit};
@@ -59,9 +59,11 @@
     }
 
     /// Reads the configuration; returns the id under which the call was forwarded.
-    fn read(&mut self, ticket: u64) -> Result<u64> {
-        let out =
-            self.hand(Input::Call { call_id: ticket, call: Call::Control(ControlCall::GetConfiguration) });
+    fn read(&mut self, call_id: u64) -> Result<u64> {
+        let out = self.hand(Input::Call {
+            call_id: CallId(call_id),
+            call: Call::Control(ControlCall::GetConfiguration),
+        });
         let forwarded = out.iter().find_map(|output| match output {
             Output::Send { to, content: Content::ForwardedCall(forward) } if *to == address(3) => {
                 Some(forward.call_id)
@@ -77,7 +79,7 @@
             ForwardedReply { call_id: ticket, status: 200, body: Arc::from(*b"{}"), lease_remaining: SECOND };
         let out = self.receive(from, Content::ForwardedReply(reply));
         let ended = out.iter().filter_map(|output| match output {
-            Output::Respond { call_id, .. } => Some(*call_id),
+            Output::Respond { call_id, .. } => Some(call_id.0),
             _ => None,
         });
         ended.collect()
@@ -193,7 +195,7 @@
         }
         self.open.insert(ticket, version);
         let call = Call::Control(ControlCall::NameVersion { model: Arc::from("advisor"), version });
-        self.hand(Input::Call { call_id: ticket, call })
+        self.hand(Input::Call { call_id: CallId(ticket), call })
     }
 
     fn deliver(&mut self) -> Result<()> {
@@ -226,7 +228,7 @@
             match output {
                 Output::Send { to, content: Content::ForwardedCall(forward) } => self.decide(to, &forward),
                 Output::Respond { call_id, response } => {
-                    let version = self.open.remove(&call_id).or_fail()?;
+                    let version = self.open.remove(&call_id.0).or_fail()?;
                     if response.status == 200 {
                         self.answered += 1;
                         verify_that!(&*response.body, eq(version.to_string().as_bytes()))?;
--- a/controlplane/tests/server_exit_acknowledgment.rs
+++ b/controlplane/tests/server_exit_acknowledgment.rs
@@ -7,13 +7,13 @@
 
 use googletest::prelude::*;
 use gradepaddle_controlplane::api::Call;
-use gradepaddle_controlplane::node::{Input, Output};
+use gradepaddle_controlplane::node::{CallId, Input, Output};
 use gradepaddle_gossip::{Entry, Message};
 use gradepaddle_proto::{Content, Envelope};
 use simulation::{MS, Plan, World};
 
 /// Names the call of these tests; nodes know no other so high.
-const TICKET: u64 = 1 << 40;
+const CALL_ID: CallId = CallId(1 << 40);
 /// Nodes of the fleet; the first of them are the core.
 const NODES: usize = 9;
 const CORE: usize = 3;
@@ -47,13 +47,13 @@
             self.asked_for = items.first().map(|aged| aged.item.entry());
         }
         out.iter().any(
-            |output| matches!(output, Output::Respond { call_id: TICKET, response } if response.status == 200),
+            |output| matches!(output, Output::Respond { call_id: CALL_ID, response } if response.status == 200),
         )
     }
 
     fn leave(&mut self, node: usize) -> bool {
         let call = Call::Leave { id: "a-server".to_owned() };
-        self.hand(node, Input::Call { call_id: TICKET, call })
+        self.hand(node, Input::Call { call_id: CALL_ID, call })
     }
 
     fn acknowledge(&mut self, node: usize, from: usize, leaving: bool) -> bool {
--- a/controlplane/tests/simulation/clients.rs
+++ b/controlplane/tests/simulation/clients.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use gradepaddle_controlplane::api::{Call, Response};
-use gradepaddle_controlplane::node::Input;
+use gradepaddle_controlplane::node::{CallId, Input};
 use gradepaddle_controlplane::order::{Order, OrderOutcome};
 
 use super::callers::{Caller, Outcome, success};
@@ -74,17 +74,17 @@
             }
             return;
         };
-        process.next_call_id += 1;
-        let ticket = process.next_call_id;
-        process.callers.insert(ticket, caller);
-        self.step(number, Input::Call { call_id: ticket, call });
+        process.last_call_id += 1;
+        let call_id = CallId(process.last_call_id);
+        process.callers.insert(call_id, caller);
+        self.step(number, Input::Call { call_id, call });
     }
 
-    pub fn answer(&mut self, number: usize, ticket: u64, answer: Response) {
+    pub fn answer(&mut self, number: usize, call_id: CallId, answer: Response) {
         let Some(process) = &mut self.machines[number].process else { return };
-        let Some(caller) = process.callers.remove(&ticket) else {
+        let Some(caller) = process.callers.remove(&call_id) else {
             return self.broken(format!(
-                "node {number} answers the call {ticket} twice, or one that was never made"
+                "node {number} answers the call {call_id:?} twice, or one that was never made"
             ));
         };
         let answer = answer.at(process.clock(self.now));
--- a/controlplane/tests/simulation/invariants.rs
+++ b/controlplane/tests/simulation/invariants.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use gradepaddle_controlplane::api::Call;
-use gradepaddle_controlplane::node::{Input, Output};
+use gradepaddle_controlplane::node::{CallId, Input, Output};
 use gradepaddle_placement::ServerState;
 use gradepaddle_proto::ControlCall;
 
@@ -19,6 +19,9 @@
 /// All nodes know what became of a server after this.
 const KNOWN_AFTER: Micros = 9 * SECOND;
 
+/// The id of calls for the status, which no caller waits for.
+const STATUS_CALL: CallId = CallId(u64::MAX);
+
 /// A rule to look at in time.
 #[derive(Clone, Copy, Debug)]
 pub enum Check {
@@ -293,9 +296,9 @@
         let now = self.now;
         let Some(process) = &mut self.machines[number].process else { return String::new() };
         let (clock, mut out) = (process.clock(now), Vec::new());
-        process.node.handle(clock, Input::Call { call_id: u64::MAX, call: Call::Status }, &mut out);
+        process.node.handle(clock, Input::Call { call_id: STATUS_CALL, call: Call::Status }, &mut out);
         let answer = out.into_iter().find_map(|output| match output {
-            Output::Respond { call_id: u64::MAX, response } => Some(response.body),
+            Output::Respond { call_id: STATUS_CALL, response } => Some(response.body),
             _ => None,
         });
         String::from_utf8_lossy(&answer.unwrap_or_default()).into_owned()
--- a/controlplane/tests/simulation/machine.rs
+++ b/controlplane/tests/simulation/machine.rs
@@ -7,7 +7,7 @@
 use gradepaddle_control::{InjectedFault, Replica, ReplicaConfig};
 use gradepaddle_controlplane::CLOCK_START;
 use gradepaddle_controlplane::bootstrap::Bootstrap;
-use gradepaddle_controlplane::node::{Node, NodeSetup};
+use gradepaddle_controlplane::node::{CallId, Node, NodeSetup};
 use gradepaddle_controlplane::session_client::SessionClient;
 use gradepaddle_controlplane::version_announcement::VersionDeadlines;
 use gradepaddle_gossip::{Gossip, GossipConfig};
@@ -50,8 +50,8 @@
     /// When it was last woken, and how often at that moment.
     pub woken: Micros,
     pub wakes_now: u32,
-    pub callers: BTreeMap<u64, Caller>,
-    pub next_call_id: u64,
+    pub callers: BTreeMap<CallId, Caller>,
+    pub last_call_id: u64,
     pub observed: Observed,
     pub leaving: bool,
 }
@@ -172,7 +172,7 @@
             woken: Micros::MAX,
             wakes_now: 0,
             callers: BTreeMap::new(),
-            next_call_id: 0,
+            last_call_id: 0,
             observed: Observed::default(),
             leaving: false,
         });
