--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -72,6 +72,10 @@
 
 impl Config {
     /// Reads variables by `variable` and the file by `RELAY_CONFIG`; says plainly what is wrong.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with a variable or the file, as a text for the log.
     pub fn read(variable: impl Fn(&str) -> Option<String>, on: Occasion) -> Result<Self, String> {
         let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
--- a/daemon/src/door/call.rs
+++ b/daemon/src/door/call.rs
@@ -21,6 +21,10 @@
 
 impl Call {
     /// Reads a line; says what is wrong with it.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the line, as a text for the operator.
     pub fn parse(line: &str) -> Result<Call, String> {
         let mut words = line.split(' ');
         let name = words.next().unwrap_or_default();
--- a/daemon/src/fleet/file.rs
+++ b/daemon/src/fleet/file.rs
@@ -76,6 +76,10 @@
 
 impl File {
     /// Reads the file for the balancer of this name.
+    ///
+    /// # Errors
+    ///
+    /// [`FileError`] if the file can't be read, is not valid, or does not name this balancer.
     pub fn read(path: &Path, name: &str) -> Result<File, FileError> {
         let place = path.display().to_string();
         let text = std::fs::read_to_string(path).map_err(|e| FileError::Unreadable(place.clone(), e))?;
--- a/daemon/src/fleet/keeper.rs
+++ b/daemon/src/fleet/keeper.rs
@@ -98,6 +98,10 @@
 }
 
 /// Opens the disk of a keeper, or makes one.
+///
+/// # Errors
+///
+/// [`StoreError`] if the disk fails, or what is on it can't be read.
 pub fn open(path: &Path, fresh: KeeperId) -> Result<(Disk, Kept), StoreError> {
     Disk::open(path, fresh)
 }
--- a/daemon/src/fleet/line.rs
+++ b/daemon/src/fleet/line.rs
@@ -93,6 +93,10 @@
 
 impl Line {
     /// Meets the other side: each says who it is and what it has drawn for this connection.
+    ///
+    /// # Errors
+    ///
+    /// [`LineError`] if the connection fails, the other side is silent, or its seal is another one.
     pub async fn meet(stream: TcpStream, seal: Seal, own: &str, drawn: u64) -> Result<Line, LineError> {
         stream.set_nodelay(true)?;
         let codec = LengthDelimitedCodec::builder().max_frame_length(LONGEST).new_codec();
@@ -106,12 +110,20 @@
     }
 
     /// Says something. What the other side does not take for too long ends the connection.
+    ///
+    /// # Errors
+    ///
+    /// [`LineError`] if the connection fails or takes nothing for too long.
     pub async fn say(&mut self, packet: &Packet) -> Result<(), LineError> {
         let bytes = self.session.pack(packet)?;
         Ok(timeout(SILENT, self.framed.send(Bytes::from(bytes))).await.map_err(|_| LineError::Silent)??)
     }
 
     /// What the other side says next. Safe to drop midway.
+    ///
+    /// # Errors
+    ///
+    /// [`LineError`] if the connection fails, or what comes is no packet under this seal.
     pub async fn hear(&mut self) -> Result<Packet, LineError> {
         // Counted over all calls: whoever waits for other things beside this one calls again and again.
         let next = timeout_at(self.heard + SILENT, self.framed.next());
--- a/daemon/src/handover/folder.rs
+++ b/daemon/src/handover/folder.rs
@@ -17,6 +17,10 @@
 
 impl Folder {
     /// The folder of this balancer, made if need be.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system: the folder can't be made or opened.
     pub fn open(within: &Path, name: &str) -> io::Result<Folder> {
         let path = within.join(name);
         fs::create_dir_all(&path)?;
@@ -24,6 +28,10 @@
     }
 
     /// Puts this text at a name, in place of what is there.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system: the text is not on disk, and what was there stays.
     pub fn write(&self, name: &str, text: &[u8]) -> io::Result<()> {
         let fresh = self.0.join(format!("new-{}-{name}", std::process::id()));
         let done = fs::write(&fresh, text).and_then(|()| fs::rename(&fresh, self.0.join(name)));
@@ -35,6 +43,10 @@
     }
 
     /// What stands at a name.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system, also where nothing has that name.
     pub fn read(&self, name: &str) -> io::Result<Vec<u8>> {
         let path = self.0.join(name);
         if fs::metadata(&path)?.len() > MOST {
@@ -44,6 +56,10 @@
     }
 
     /// Takes a name away; no fault if it is not there.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
     pub fn remove(&self, name: &str) -> io::Result<()> {
         match fs::remove_file(self.0.join(name)) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
@@ -52,6 +68,10 @@
     }
 
     /// The names that begin so, in order.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system: the folder can't be listed.
     pub fn names(&self, prefix: &str) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
         for entry in fs::read_dir(&self.0)? {
@@ -62,6 +82,10 @@
     }
 
     /// Enters a process: its file is there only while it holds the lock on it.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system: the file can't be made or locked.
     pub fn enter(&self, name: &str, process: &Process) -> io::Result<Entry> {
         let fresh = self.0.join(format!("new-{name}"));
         let file = File::create(&fresh)?;
@@ -74,6 +98,10 @@
 
     /// Holds the others off while this process looks and says what it claims; none if another does just now.
     /// Not waited for: whoever holds it may have been stopped.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system: the lock's file can't be opened.
     pub fn turn(&self) -> io::Result<Option<File>> {
         let file = File::options().create(true).append(true).open(self.0.join("turn"))?;
         match file.try_lock() {
@@ -84,6 +112,10 @@
     }
 
     /// The processes that live, but for the one of this name. What a dead one left is cleared away.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system: the folder can't be listed.
     pub fn processes(&self, but: &str) -> io::Result<Vec<Process>> {
         let mut live = Vec::new();
         for name in self.names("process-")? {
@@ -112,6 +144,10 @@
 
 impl Entry {
     /// Says anew what holds of the process.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system: the file can't be written.
     pub fn say(&self, process: &Process) -> io::Result<()> {
         let mut line = serde_json::to_vec(process)?;
         line.resize(LINE - 1, b' ');
--- a/daemon/src/handover/mod.rs
+++ b/daemon/src/handover/mod.rs
@@ -49,6 +49,10 @@
 
 impl Handover {
     /// Enters this process. `sockets` are the balancer's descriptors, if others may come that share them.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the folder, or that another process of this name lives, as a text for the log.
     pub fn enter(within: &Path, name: &str, sockets: Option<usize>) -> Result<Rc<Handover>, String> {
         let place = record::name("gradepaddle", name).ok_or("the balancer's name is too long")?;
         let folder = Folder::open(within, &place).map_err(|e| format!("{place}: {e}"))?;
@@ -129,6 +133,10 @@
     }
 
     /// Writes a ban down, or takes it away. Done when this returns.
+    ///
+    /// # Errors
+    ///
+    /// Why it is not on disk, as a text for the operator; nothing has changed then.
     pub fn ban(&self, server: &Id, since: Option<Micros>) -> Result<(), String> {
         let file = record::name("ban", server).ok_or("the id is too long to be written down")?;
         if let Some(made) = since {
--- a/daemon/src/handover/record.rs
+++ b/daemon/src/handover/record.rs
@@ -136,6 +136,10 @@
 }
 
 /// The app server that a ban's file names, and when it was made, if the file is one of ours.
+///
+/// # Errors
+///
+/// What is wrong with the file, as a text for the log.
 pub fn ban(file: &str, text: &[u8]) -> Result<(Id, Micros), String> {
     let ban: Ban = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     if ban.version != VERSION {
--- a/daemon/src/inherit.rs
+++ b/daemon/src/inherit.rs
@@ -8,6 +8,10 @@
 
 /// A duplicate of the descriptor, close-on-exec and non-blocking, if it is a socket that listens at `listen`.
 /// The descriptor itself stays open: the platform's socket lives on whatever becomes of ours.
+///
+/// # Errors
+///
+/// What the descriptor is instead, as a text for the log.
 pub fn listener(fd: RawFd, listen: SocketAddr) -> Result<TcpListener, String> {
     // Through a file and back: each step duplicates or moves ownership, so none needs `unsafe`.
     let own = FileDescriptor::dup(&fd).and_then(|own| own.as_file()).map_err(|e| e.to_string())?;
--- a/daemon/src/terminal/intake.rs
+++ b/daemon/src/terminal/intake.rs
@@ -55,6 +55,10 @@
 
 /// Reads a request: its head by this time, and its body as far as that is kept. `waiting` is kept up with what
 /// comes.
+///
+/// # Errors
+///
+/// [`Unread`]: the client has gone, was too slow, or sent something that is no request.
 pub async fn read(
     connection: &mut Connection,
     pool: &Pool,
@@ -123,6 +127,10 @@
 
 /// While a client waits for its answer: passes on more of what it sends, true once that is all, or else notices
 /// that it leaves. Safe to drop midway.
+///
+/// # Errors
+///
+/// [`Unread`]: the client has gone, was too slow, or what it sends is no body.
 pub async fn more(
     connection: &mut Connection,
     upload: &mut Option<Upload>,
--- a/daemon/src/terminal/outgoing.rs
+++ b/daemon/src/terminal/outgoing.rs
@@ -71,6 +71,10 @@
     }
 
     /// Writes it. True if the connection stays, false if it is to end, with the answer whole in both cases.
+    ///
+    /// # Errors
+    ///
+    /// The error of the connection: the client has gone, or a part of the answer is written.
     pub async fn write(self, connection: &mut Connection, pool: &Pool, keep: bool) -> io::Result<bool> {
         let Outgoing { mut head, body, flow } = self;
         let keep = keep && !matches!(flow, Some((_, Framing::UntilClose)));
