--- a/control/tests/latency.rs
+++ b/control/tests/latency.rs
@@ -92,3 +92,24 @@
         }
     }
 }
+
+/// Disks that got slow at all machines, as they do where processes are starved: a takeover takes longer, not for ever.
+#[gtest]
+fn a_lost_primary_is_replaced_however_long_syncs_take() {
+    const SYNCS: [u64; 4] = [150 * MILLISECOND, 300 * MILLISECOND, 400 * MILLISECOND, 500 * MILLISECOND];
+    let (_, speed) = SITES[0];
+    for sync in SYNCS {
+        let mut fleet = Fleet::bootstrapped(3, 1, speed);
+        fleet.change_every(300 * MILLISECOND, 0);
+        fleet.run_for(3 * SECOND);
+        fleet.slow_disks(sync);
+        fleet.run_for(4 * SECOND);
+        let Some(leader) = fleet.leader() else {
+            expect_that!(fleet.leader(), some(anything()), "{sync} us a sync, before the loss");
+            continue;
+        };
+        fleet.crash(leader);
+        fleet.run_for(30 * SECOND);
+        expect_that!(fleet.leader(), some(anything()), "{sync} us a sync");
+    }
+}
--- a/control/tests/slow_links/mod.rs
+++ b/control/tests/slow_links/mod.rs
@@ -177,6 +177,11 @@
         self.schedule(self.now, Event::Operator);
     }
 
+    /// From now on a write and its sync take this long, in microseconds.
+    pub fn slow_disks(&mut self, write: u64) {
+        self.speed.write = write;
+    }
+
     /// Partitions a machine from all others; messages in flight to and from it are lost.
     pub fn partition(&mut self, place: usize) {
         let address = self.machines[place].address;
