Log each step of a configuration's fetch, its processing, and denied requests

Nothing told when a node had learned of a configuration, how often and from whom it had fetched it, how long it took to process, and under which version a request was denied, so the hypotheses could not be told apart. No logic changes.

--- a/controlplane/src/node.rs
+++ b/controlplane/src/node.rs
@@ -22,6 +22,7 @@
 use self::staleness::Evidence;
 use crate::Micros;
 use crate::bootstrap::Bootstrap;
+use crate::item_kinds::CONFIGURATION;
 use crate::registry::Registry;
 use crate::rollout::Rollout;
 use crate::session_client::SessionClient;
@@ -247,6 +248,10 @@
                     out.push(Output::Send { to, content: Content::Gossip(message) });
                 }
                 GossipOutput::Changed(item) => self.handle_item(now, &item, out),
+                GossipOutput::Fetch(event) if event.entry.kind == CONFIGURATION => {
+                    out.push(Output::Event(Event::ConfigurationFetch(event)));
+                }
+                GossipOutput::Fetch(_) => {}
                 GossipOutput::Acknowledged { publish_id } => {
                     self.handle_acknowledgment(CallId(publish_id), true, out);
                 }
--- a/controlplane/src/node/messages.rs
+++ b/controlplane/src/node/messages.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use gradepaddle_control::{Record, Replica, WriteId};
+use gradepaddle_gossip::FetchEvent;
 use gradepaddle_placement::ServerEntry;
 use gradepaddle_proto::{Content, Envelope};
 
@@ -228,6 +229,8 @@
         /// Its outcome.
         outcome: OrderOutcome,
     },
+    /// A step in the fetch of a configuration; the version is the major number of its stamp.
+    ConfigurationFetch(FetchEvent),
     /// Messages of another node were dropped, since too much of what it sent was waiting.
     MessagesDropped {
         /// The node.
--- a/dataplane/src/admission.rs
+++ b/dataplane/src/admission.rs
@@ -50,5 +50,8 @@
     if depends_on_key && plane.keys_expired() {
         return Err(LocalResponse::Unavailable { retry_after: KEYS_EXPIRED_RETRY_AFTER });
     }
+    if let Err(denial) = &routed {
+        plane.denied_requests.record(plane, denial, configuration.version);
+    }
     routed
 }
--- a/dataplane/src/data_plane.rs
+++ b/dataplane/src/data_plane.rs
@@ -16,6 +16,7 @@
 
 use crate::cache_events::subscriptions::CacheStoreSubscriptions;
 use crate::counters::Counters;
+use crate::denied_requests::DeniedRequests;
 use crate::key_validity::{KeyValidity, KeyValidityTracker};
 use crate::lifecycle::{Lifecycle, OpenRequestGuard, Phase};
 use crate::load_reports::state::{LoadReportCounters, LoadReports};
@@ -47,6 +48,7 @@
     pub(crate) log: Logger,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) key_validity: KeyValidityTracker,
+    pub(crate) denied_requests: DeniedRequests,
     pub(crate) cache_stores: CacheStoreSubscriptions,
     pub(crate) load_reports: LoadReports,
     /// Notified when a model version is announced or its deadline postponed.
@@ -74,6 +76,7 @@
             log: setup.log,
             lifecycle: Lifecycle::new(),
             key_validity: KeyValidityTracker::default(),
+            denied_requests: DeniedRequests::default(),
             cache_stores: CacheStoreSubscriptions::default(),
             load_reports: LoadReports::new(setup.zone),
             versions_changed: watch::Sender::new(()),
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -28,6 +28,7 @@
 mod control_inputs;
 mod counters;
 mod data_plane;
+mod denied_requests;
 mod event_splitter;
 mod key_validity;
 mod lifecycle;
--- a/dataplane/src/local_response.rs
+++ b/dataplane/src/local_response.rs
@@ -31,7 +31,8 @@
 }
 
 impl LocalResponse {
-    fn status(self) -> &'static str {
+    /// Status code and reason phrase.
+    pub(crate) fn status(self) -> &'static str {
         match self {
             LocalResponse::BadRequest => "400 Bad Request",
             LocalResponse::Unauthorized => "401 Unauthorized",
--- a/gossip/src/fetch.rs
+++ b/gossip/src/fetch.rs
@@ -6,7 +6,7 @@
 
 use crate::config::micros;
 use crate::item::Name;
-use crate::{Entry, Gossip, Message, Output, Stamp};
+use crate::{Entry, FetchEvent, FetchStep, Gossip, Message, Output, Stamp};
 
 /// How many further nodes that have an item are remembered while it is fetched.
 const MAX_ALTERNATIVES: usize = 8;
@@ -19,6 +19,26 @@
     alternatives: Vec<SocketAddrV4>,
     deadline: u64,
     push_on: bool,
+    started_at: u64,
+    attempts: u32,
+}
+
+/// A fetch that has ended with the arrival of its item.
+#[derive(Clone, Copy)]
+pub(crate) struct CompletedFetch {
+    /// Whether the item is to be pushed on.
+    pub push_on: bool,
+    pub started_at: u64,
+    pub attempts: u32,
+}
+
+/// Fetches that have timed out.
+#[derive(Default)]
+pub(crate) struct OverdueFetches {
+    /// Items by the node to ask next.
+    again: BTreeMap<SocketAddrV4, Vec<Entry>>,
+    /// Items that no other node is known to have, with the node that was asked last.
+    abandoned: Vec<(SocketAddrV4, Entry)>,
 }
 
 /// All fetches that are in flight.
@@ -45,38 +65,51 @@
             }
             return false;
         }
-        let fetch = Fetch { stamp: entry.stamp, asked: from, alternatives: Vec::new(), deadline: 0, push_on };
+        let fetch = Fetch {
+            stamp: entry.stamp,
+            asked: from,
+            alternatives: Vec::new(),
+            deadline: 0,
+            push_on,
+            started_at: now,
+            attempts: 0,
+        };
         self.begin(now, entry.name(), fetch);
         true
     }
 
-    /// An item has arrived. If it was being fetched, returns whether it is to be pushed on.
-    pub(crate) fn complete(&mut self, entry: &Entry) -> Option<bool> {
+    /// An item has arrived. If it was being fetched, returns that fetch.
+    pub(crate) fn complete(&mut self, entry: &Entry) -> Option<CompletedFetch> {
         let name = entry.name();
         if self.by_name.get(&name)?.stamp > entry.stamp {
             return None;
         }
-        let fetch = self.by_name.remove(&name)?;
+        let Fetch { push_on, started_at, attempts, .. } = self.by_name.remove(&name)?;
         self.drop_done_deadlines();
-        Some(fetch.push_on)
+        Some(CompletedFetch { push_on, started_at, attempts })
     }
 
-    /// Fetches that have timed out, by the node to ask next. One without alternatives is given up.
-    pub(crate) fn overdue(&mut self, now: u64) -> BTreeMap<SocketAddrV4, Vec<Entry>> {
-        let mut again: BTreeMap<SocketAddrV4, Vec<Entry>> = BTreeMap::new();
+    /// Fetches that have timed out. One without alternatives is given up.
+    pub(crate) fn overdue(&mut self, now: u64) -> OverdueFetches {
+        let mut overdue = OverdueFetches::default();
         while self.next_due() <= now {
             let Some((_, name)) = self.deadlines.pop_front() else { break };
             let Some(mut fetch) = self.by_name.remove(&name) else { continue };
             if fetch.deadline > now {
                 self.by_name.insert(name, fetch);
-            } else if let Some(next) = fetch.alternatives.pop() {
+                continue;
+            }
+            let (kind, key) = name.clone();
+            let entry = Entry { kind, key, stamp: fetch.stamp };
+            if let Some(next) = fetch.alternatives.pop() {
                 fetch.asked = next;
-                let (kind, key) = name.clone();
-                again.entry(next).or_default().push(Entry { kind, key, stamp: fetch.stamp });
+                overdue.again.entry(next).or_default().push(entry);
                 self.begin(now, name, fetch);
+            } else {
+                overdue.abandoned.push((fetch.asked, entry));
             }
         }
-        again
+        overdue
     }
 
     /// When a fetch may time out next; `u64::MAX` for never.
@@ -86,6 +119,7 @@
 
     fn begin(&mut self, now: u64, name: Name, mut fetch: Fetch) {
         fetch.deadline = now + self.again_after;
+        fetch.attempts += 1;
         self.deadlines.push_back((fetch.deadline, name.clone()));
         self.by_name.insert(name, fetch);
     }
@@ -136,18 +170,33 @@
         let missing =
             entries.into_iter().filter(|entry| !self.items.holds(entry.kind, &entry.key, entry.stamp));
         let wanted = missing.filter(|entry| self.fetches.request(now, from, entry, push_on)).collect();
-        self.send_fetch(from, wanted, out);
+        self.send_fetch(from, wanted, FetchStep::Started, out);
     }
 
     /// Asks other nodes for items whose fetch has timed out.
     pub(crate) fn retry_fetches(&mut self, now: u64, out: &mut Vec<Output>) {
-        for (from, entries) in self.fetches.overdue(now) {
-            self.send_fetch(from, entries, out);
+        let overdue = self.fetches.overdue(now);
+        for (from, entries) in overdue.again {
+            self.send_fetch(from, entries, FetchStep::Retried, out);
         }
+        let abandoned = overdue.abandoned.into_iter();
+        out.extend(abandoned.map(|(peer, entry)| fetch_event(entry, peer, FetchStep::Abandoned)));
     }
 
-    fn send_fetch(&mut self, from: SocketAddrV4, entries: Vec<Entry>, out: &mut Vec<Output>) {
+    fn send_fetch(
+        &mut self,
+        from: SocketAddrV4,
+        entries: Vec<Entry>,
+        step: FetchStep,
+        out: &mut Vec<Output>,
+    ) {
         self.counters.fetches += entries.len() as u64;
+        out.extend(entries.iter().map(|entry| fetch_event(entry.clone(), from, step)));
         self.send_entries(from, entries, |entries| Message::Fetch { entries }, out);
     }
 }
+
+/// The report of a step in a fetch.
+pub(crate) fn fetch_event(entry: Entry, peer: SocketAddrV4, step: FetchStep) -> Output {
+    Output::Fetch(FetchEvent { entry, peer, step })
+}
--- a/gossip/src/lib.rs
+++ b/gossip/src/lib.rs
@@ -30,6 +30,6 @@
 pub use gossip::Gossip;
 pub use item::{Aged, Entry, Item, Kind, Stamp};
 pub use message::{Message, RangeDigest, RangeEntries};
-pub use output::Output;
+pub use output::{FetchEvent, FetchStep, Output};
 pub use peers::Peer;
 pub use replication_factor::ReplicationFactor;
--- a/gossip/src/push.rs
+++ b/gossip/src/push.rs
@@ -7,9 +7,10 @@
 use std::net::SocketAddrV4;
 
 use crate::config::micros;
+use crate::fetch::{CompletedFetch, fetch_event};
 use crate::item::Name;
 use crate::message::{batches, entry_size, item_size};
-use crate::{Aged, Entry, Gossip, Message, Output};
+use crate::{Aged, Entry, FetchStep, Gossip, Message, Output};
 
 /// A repair of at most this many items is pushed on. More fill an empty node or end a network partition, where the other
 /// nodes compare for themselves.
@@ -53,7 +54,7 @@
 /// An item of a push that was newer than what was known.
 struct Accepted {
     name: Name,
-    /// If the item had been fetched: whether it is to be pushed on.
+    /// If the item was fetched: whether it is to be pushed on.
     push_when_fetched: Option<bool>,
 }
 
@@ -172,7 +173,12 @@
         out: &mut Vec<Output>,
     ) -> Option<Accepted> {
         let entry = aged.item.entry();
-        let push_when_fetched = self.fetches.complete(&entry);
+        let fetch = self.fetches.complete(&entry);
+        if let Some(CompletedFetch { started_at, attempts, .. }) = fetch {
+            let elapsed = now.saturating_sub(started_at);
+            out.push(fetch_event(entry.clone(), from, FetchStep::Completed { elapsed, attempts }));
+        }
+        let push_when_fetched = fetch.map(|fetch| fetch.push_on);
         if self.items.merge(now, aged) {
             self.counters.items_accepted += 1;
             out.push(Output::Changed(aged.item.clone()));
--- a/gossip/tests/push.rs
+++ b/gossip/tests/push.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddrV4;
 
 use googletest::prelude::*;
-use gradepaddle_gossip::{Aged, Gossip, GossipConfig, Item, Message, Output, Peer};
+use gradepaddle_gossip::{Aged, FetchEvent, FetchStep, Gossip, GossipConfig, Item, Message, Output, Peer};
 use simulation::{KIND, MS, SECOND, address, item};
 
 /// A node whose first comparisons are over.
@@ -148,6 +148,41 @@
     expect_that!(fetches(receive(&mut node, 602 * MS, 5, offer())), eq(&vec![(address(5), fetch)]));
 }
 
+/// The steps of fetches that an input brings about, with the nodes that were asked.
+fn fetch_steps(
+    node: &mut Gossip,
+    input: impl FnOnce(&mut Gossip, &mut Vec<Output>),
+) -> Vec<(SocketAddrV4, FetchStep)> {
+    let mut out = Vec::new();
+    input(node, &mut out);
+    let steps = out.into_iter().filter_map(|output| match output {
+        Output::Fetch(FetchEvent { peer, step, .. }) => Some((peer, step)),
+        _ => None,
+    });
+    steps.collect()
+}
+
+#[gtest]
+fn each_step_of_a_fetch_is_reported() {
+    let mut node = node_at_rest(9);
+    let item = item("large", 1, &[1; 5_000]);
+    let offer = || Message::Offer { entries: vec![item.entry()] };
+    let steps = fetch_steps(&mut node, |node, out| node.receive(MS, address(3), offer(), out));
+    expect_that!(steps, eq(&vec![(address(3), FetchStep::Started)]));
+    let steps = fetch_steps(&mut node, |node, out| node.receive(2 * MS, address(4), offer(), out));
+    expect_that!(steps, eq(&vec![]));
+    let steps = fetch_steps(&mut node, |node, out| node.tick(301 * MS, out));
+    expect_that!(steps, eq(&vec![(address(4), FetchStep::Retried)]));
+    let steps = fetch_steps(&mut node, |node, out| node.tick(601 * MS, out));
+    expect_that!(steps, eq(&vec![(address(4), FetchStep::Abandoned)]));
+    receive(&mut node, 602 * MS, 5, offer());
+    let arrives = |node: &mut Gossip, out: &mut Vec<Output>| {
+        node.receive(612 * MS, address(5), push(std::slice::from_ref(&item), true), out);
+    };
+    let completed = FetchStep::Completed { elapsed: 10 * MS, attempts: 1 };
+    expect_that!(fetch_steps(&mut node, arrives), eq(&vec![(address(5), completed)]));
+}
+
 /// A fetched item is offered on; a newer stamp is fetched though the fetch of an older one is in flight.
 #[gtest]
 fn a_newer_offer_is_fetched_at_once() {
--- a/gossip/tests/simulation/mod.rs
+++ b/gossip/tests/simulation/mod.rs
@@ -258,6 +258,7 @@
             match output {
                 Output::Send { to, message } => self.post(node, node_of(to), message),
                 Output::Changed(item) => self.arrive(node, from, &item),
+                Output::Fetch(_) => {}
                 Output::Acknowledged { publish_id } => self.acknowledge(publish_id, true),
                 Output::AcknowledgmentFailed { publish_id } => self.acknowledge(publish_id, false),
             }
--- a/system/src/effects.rs
+++ b/system/src/effects.rs
@@ -10,8 +10,10 @@
 use gradepaddle_controlplane::driver::Effects;
 use gradepaddle_controlplane::node::{ConfigurationValidity, Event, MemberNode};
 use gradepaddle_controlplane::order::OrderOutcome;
+
 use gradepaddle_dataplane::load_reports::recipients::Peer;
 use gradepaddle_dataplane::{DataPlane, KeyValidity};
+use gradepaddle_gossip::{FetchEvent, FetchStep};
 use gradepaddle_placement::{Micros, ServerEntry, ServerState};
 use gradepaddle_store::Writer;
 use slog::{Logger, info, warn};
@@ -47,10 +49,38 @@
     pub log: Logger,
 }
 
+impl NodeEffects {
+    fn log_fetch(&self, FetchEvent { entry, peer, step }: &FetchEvent) {
+        let version = entry.stamp.major;
+        match step {
+            FetchStep::Started => {
+                info!(self.log, "configuration fetch started"; "version" => version, "peer" => %peer);
+            }
+            FetchStep::Retried => {
+                info!(self.log, "configuration fetch retried"; "version" => version, "peer" => %peer);
+            }
+            FetchStep::Abandoned => {
+                info!(self.log, "configuration fetch abandoned"; "version" => version, "peer" => %peer);
+            }
+            FetchStep::Completed { elapsed, attempts } => {
+                info!(self.log, "configuration fetched"; "version" => version, "peer" => %peer,
+                    "elapsed_ms" => millis(*elapsed), "attempts" => attempts);
+            }
+        }
+    }
+}
+
 impl Effects for NodeEffects {
     fn apply_configuration(&self, body: Arc<[u8]>) {
+        let begun = self.plane.now();
         match Configuration::parse(&body) {
-            Ok(configuration) => self.plane.set_configuration(configuration),
+            Ok(configuration) => {
+                let version = configuration.version;
+                self.plane.set_configuration(configuration);
+                let elapsed = self.plane.now().saturating_sub(begun);
+                info!(self.log, "configuration processed";
+                    "version" => version, "bytes" => body.len(), "elapsed_ms" => millis(elapsed));
+            }
             // The primary has validated it: its build may know more than this one.
             Err(findings) => {
                 warn!(self.log, "configuration rejected"; "findings" => findings.to_string());
@@ -144,6 +174,7 @@
                 info!(self.log, "server order answered"; "server" => &*order.server, "model" => &*order.model,
                     "version" => order.version, "fencing_token" => order.fencing_token, "result" => outcome_name(outcome));
             }
+            Event::ConfigurationFetch(event) => self.log_fetch(&event),
             Event::MessagesDropped { peer, count, total } => {
                 warn!(self.log, "received messages dropped"; "peer" => %peer, "count" => count, "total" => total);
             }
