--- a/gossip/tests/simulation/mod.rs
+++ b/gossip/tests/simulation/mod.rs
@@ -54,6 +54,33 @@
     to: usize,
 }
 
+/// The link of a node: what it sends and receives goes over it one message after another, each way by itself.
+#[derive(Debug, Clone, Copy, Default)]
+struct Link {
+    /// 0 for a link on which messages take no time.
+    bytes_per_second: u64,
+    up_free_at: u64,
+    down_free_at: u64,
+}
+
+impl Link {
+    fn transfer_us(self, bytes: usize) -> u64 {
+        (bytes as u64 * SECOND).checked_div(self.bytes_per_second).unwrap_or(0)
+    }
+
+    /// When a message handed to this link now has left it.
+    fn send(&mut self, now: u64, bytes: usize) -> u64 {
+        self.up_free_at = self.up_free_at.max(now) + self.transfer_us(bytes);
+        self.up_free_at
+    }
+
+    /// When a message that comes to this link at `at` has been received.
+    fn receive(&mut self, at: u64, bytes: usize) -> u64 {
+        self.down_free_at = self.down_free_at.max(at) + self.transfer_us(bytes);
+        self.down_free_at
+    }
+}
+
 /// When and after how many hops a node took an item.
 #[derive(Debug, Clone, Copy)]
 pub struct Arrival {
@@ -87,6 +114,7 @@
     events: BinaryHeap<Reverse<Event>>,
     mail: BTreeMap<u64, (usize, Message)>,
     wakes: Vec<u64>,
+    links: Vec<Link>,
 }
 
 impl Simulation {
@@ -116,6 +144,7 @@
             events: BinaryHeap::new(),
             mail: BTreeMap::new(),
             wakes: vec![u64::MAX; nodes],
+            links: vec![Link::default(); nodes],
         };
         simulation.nodes = (0..nodes).map(|node| Some(simulation.fresh(node))).collect();
         simulation
@@ -126,6 +155,11 @@
         Gossip::new(config, self.now)
     }
 
+    /// Sets the rate of a node's link, each way.
+    pub fn set_link(&mut self, node: usize, bytes_per_second: u64) {
+        self.links[node].bytes_per_second = bytes_per_second;
+    }
+
     /// Makes all other running nodes the peers of a node.
     pub fn set_all_peers(&mut self, node: usize) {
         let others = (0..self.nodes.len()).filter(|other| *other != node && self.nodes[*other].is_some());
@@ -290,7 +324,10 @@
             return;
         }
         let delay = self.rng.u64(if from % ZONES == to % ZONES { NEAR_US } else { FAR_US });
-        let sequence = self.schedule(self.now + delay, to);
+        let bytes = message.size();
+        let sent = self.links[from].send(self.now, bytes);
+        let arrives = self.links[to].receive(sent + delay, bytes);
+        let sequence = self.schedule(arrives, to);
         self.mail.insert(sequence, (from, message));
     }
 
@@ -316,6 +353,18 @@
         self.nodes.iter().flatten().all(|node| node.get(item.kind, &item.key) == Some(item))
     }
 
+    /// When the last node had the item `configuration` in this stamp or a newer one; none if one lacks it.
+    pub fn reached_by_all(&self, major: u64) -> Option<u64> {
+        let reached_by = |node: usize| {
+            let newer = self
+                .arrivals
+                .iter()
+                .filter(|((by, key, stamp), _)| *by == node && **key == *"configuration" && *stamp >= major);
+            newer.map(|(_, arrival)| arrival.at).min()
+        };
+        (0..self.nodes.len()).map(reached_by).try_fold(0, |latest, at| Some(latest.max(at?)))
+    }
+
     /// The last arrival of an item, and the most hops of any.
     pub fn last_arrival(&self, item: &Item) -> Arrival {
         let of_item = (0..self.nodes.len())
