Let campaigns last as long as slow disks need; count a slow write from its begin

Cause: a campaign ended after 1.2 s and needs four writes one after the other, so that none ended with 300 ms each. And a disk counted as slow 600 ms after its oldest write was issued, the time in the queue included, so that a primary with 500 ms a write stepped down again and again (trace of the test at 500 ms).

Change: the time limit grows with the writes of the candidate's own disk, and with campaigns in a row that had a quorum and timed out; a write is slow 600 ms after the disk could begin with it, or after 1.8 s in all.

--- a/control/src/campaign.rs
+++ b/control/src/campaign.rs
@@ -12,8 +12,15 @@
     transmission::{state_bytes, transfer_time},
 };
 
-/// A campaign that takes longer starts again with a higher epoch.
+/// A campaign that takes longer, besides its writes and transfers, starts again with a higher epoch.
 const CAMPAIGN_TIMEOUT: Micros = 1_200 * MILLISECOND;
+/// Writes of a campaign that follow one another: the candidate's promise, the others' promises, the state, the view.
+const CAMPAIGN_WRITES: Micros = 4;
+/// For each campaign in a row that had a quorum and timed out, the next may take so much longer: disks of other members
+/// may be slower than the candidate's own.
+const TIMEOUT_EXTENSION: Micros = 600 * MILLISECOND;
+/// At most so many campaigns in a row extend the time limit.
+const MAX_EXTENSIONS: u32 = 3;
 /// A campaign that a rival has interfered with starts again this long after the first rejection, unless it has a
 /// quorum.
 const REJECTED_CAMPAIGN_TIMEOUT: Micros = 250 * MILLISECOND;
@@ -79,6 +86,10 @@
     pub quorum_since: Option<Micros>,
     pub membership: Option<Membership>,
     pub stage: Stage,
+    /// How long a write takes at the candidate.
+    pub expected_write: Micros,
+    /// Campaigns of this candidate in a row that had a quorum and timed out.
+    pub earlier_timeouts: u32,
 }
 
 impl Campaign {
@@ -108,12 +119,14 @@
     }
 
     fn time_limit(&self) -> Micros {
+        let extension = TIMEOUT_EXTENSION * Micros::from(self.earlier_timeouts.min(MAX_EXTENSIONS));
+        let limit = CAMPAIGN_TIMEOUT + CAMPAIGN_WRITES * self.expected_write + extension;
         match &self.stage {
             // Allows for one backup that is replaced by another, or one transfer that is repeated.
             Stage::InstallingSnapshots { source, attempts, .. } => {
-                CAMPAIGN_TIMEOUT + 2 * transfer_time(state_bytes(&source.state) * attempts.len())
+                limit + 2 * transfer_time(state_bytes(&source.state) * attempts.len())
             }
-            _ => CAMPAIGN_TIMEOUT,
+            _ => limit,
         }
     }
 
--- a/control/src/disk.rs
+++ b/control/src/disk.rs
@@ -4,8 +4,12 @@
 
 use crate::{LogPosition, Message, Micros, ProposalNumber, WriteId, time::MILLISECOND};
 
-/// A disk whose oldest pending write takes longer than this is unhealthy.
+/// A disk that works on its oldest pending write for longer than this is unhealthy.
 const SLOW_WRITE: Micros = 600 * MILLISECOND;
+/// So is one whose oldest pending write has waited longer than this, earlier writes included.
+const SLOW_QUEUE: Micros = 1_800 * MILLISECOND;
+/// Each write lets the longest recent one decay by one part in this many.
+const RECENT_WRITE_DECAY: Micros = 4;
 /// Delay between a failed write and the next one.
 const RETRY_INTERVAL: Micros = 500 * MILLISECOND;
 
@@ -46,6 +50,9 @@
     stale: bool,
     failing: bool,
     last_failure: Micros,
+    /// How long writes have taken lately: the longest one, which later ones let decay.
+    recent_write: Micros,
+    last_completion: Micros,
 }
 
 impl Disk {
@@ -71,7 +78,19 @@
 
     /// Whether writes succeed, and in time.
     pub fn is_healthy(&self, now: Micros) -> bool {
-        !self.failing && self.outstanding.front().is_none_or(|oldest| now < oldest.issued + SLOW_WRITE)
+        !self.failing && self.slow_at().is_none_or(|at| now < at)
+    }
+
+    /// When the oldest pending write makes the disk unhealthy.
+    fn slow_at(&self) -> Option<Micros> {
+        let oldest = self.outstanding.front()?;
+        let begun = oldest.issued.max(self.last_completion);
+        Some((begun + SLOW_WRITE).min(oldest.issued + SLOW_QUEUE))
+    }
+
+    /// How long a write takes at present, as far as completed writes tell; at most [`SLOW_WRITE`].
+    pub fn expected_write(&self) -> Micros {
+        self.recent_write.min(SLOW_WRITE)
     }
 
     /// Whether a new write may be started.
@@ -81,8 +100,8 @@
 
     /// When the disk should be retried, or becomes unhealthy because a write is slow.
     pub fn next_deadline(&self, now: Micros) -> Option<Micros> {
-        match self.outstanding.front() {
-            Some(oldest) => Some(oldest.issued + SLOW_WRITE).filter(|at| *at > now),
+        match self.slow_at() {
+            Some(at) => Some(at).filter(|at| *at > now),
             None => self.failing.then(|| self.last_failure + RETRY_INTERVAL),
         }
     }
@@ -117,8 +136,11 @@
     }
 
     /// Completes a durable write and returns the effects that waited for it.
-    pub fn complete_write(&mut self, write_id: WriteId) -> Vec<Effect> {
+    pub fn complete_write(&mut self, now: Micros, write_id: WriteId) -> Vec<Effect> {
         let Some(write) = self.take(write_id) else { return Vec::new() };
+        self.last_completion = now;
+        let decayed = self.recent_write - self.recent_write / RECENT_WRITE_DECAY;
+        self.recent_write = now.saturating_sub(write.issued).max(decayed);
         if !write.valid {
             return Vec::new();
         }
--- a/control/src/election.rs
+++ b/control/src/election.rs
@@ -37,6 +37,8 @@
     pub campaign: Option<Campaign>,
     /// The latest campaign began because another primary's heartbeats were missing, not at its request.
     pub campaign_after_timeout: bool,
+    /// Campaigns of this replica in a row that had a quorum and timed out.
+    pub campaign_timeouts: u32,
     /// The latest candidate that was sent the data with a promise.
     pub snapshot_sent: Option<SnapshotSent>,
     /// State of the generator that spreads campaigns.
@@ -62,6 +64,7 @@
     pub(crate) fn tick_election(&mut self, out: &mut Vec<Output>) {
         if let Some(campaign) = &self.election.campaign {
             if self.now() >= campaign.deadline() {
+                self.election.campaign_timeouts += u32::from(campaign.quorum_since.is_some());
                 self.abandon_campaign(out);
             } else if campaign.stage.collecting_promises() {
                 self.maybe_start_installation(out);
@@ -146,6 +149,8 @@
             quorum_since: None,
             membership,
             stage: Stage::CollectingPromises,
+            expected_write: self.disk.expected_write(),
+            earlier_timeouts: self.election.campaign_timeouts,
         });
         // Others are asked only once the own promise is durable, so that a restart never uses an epoch twice.
         self.persist(vec![Record::Promise(proposal_number)], Some(Effect::OwnPromise { epoch }), out);
--- a/control/src/leadership.rs
+++ b/control/src/leadership.rs
@@ -91,6 +91,7 @@
         answered: &BTreeSet<ReplicaId>,
         out: &mut Vec<Output>,
     ) {
+        self.election.campaign_timeouts = 0;
         self.stored.view = Some(KnownView { view: Arc::clone(&view), active: false });
         self.activate_view(out);
         if let Some(data) = &self.stored.data {
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -79,6 +79,7 @@
                 pre_vote: None,
                 campaign: None,
                 campaign_after_timeout: false,
+                campaign_timeouts: 0,
                 snapshot_sent: None,
                 random: config.seed ^ recovered.id.0 ^ 0x9E37_79B9_7F4A_7C15,
             },
@@ -101,7 +102,7 @@
             Input::Tick => {}
             Input::Message { from, message } => self.step(from, message, out),
             Input::WriteCompleted { write_id } => {
-                for effect in self.disk.complete_write(write_id) {
+                for effect in self.disk.complete_write(self.now, write_id) {
                     self.apply_effect(effect, out);
                 }
             }
