Answer 503 for what a configuration that is known and missing may allow

Cause: the data plane decided by the configuration in force alone, though the gossip knows at once which stamp is on its way. The control plane now reports the version that is being downloaded; a request that the one in force denies waits for it for 500 ms, and gets 503, which promises that it was not processed, if it has not come. What is allowed is not delayed, and without a download nothing changes.

--- a/controlplane/src/driver.rs
+++ b/controlplane/src/driver.rs
@@ -35,6 +35,8 @@
 pub trait Effects {
     /// Puts a configuration in force.
     fn apply_configuration(&self, body: Arc<[u8]>);
+    /// A newer configuration exists that has not arrived here yet, of this version; or there is none any longer.
+    fn configuration_expected(&self, version: Option<u64>);
     /// A server has been registered, or has changed.
     fn server_changed(&self, entry: ServerEntry);
     /// A server has been removed.
@@ -185,6 +187,7 @@
                 }
             }
             Output::ApplyConfiguration(body) => self.effects.apply_configuration(body),
+            Output::ConfigurationExpected(version) => self.effects.configuration_expected(version),
             Output::ServerChanged(entry) => self.effects.server_changed(entry),
             Output::ServerRemoved(id) => self.effects.server_removed(&id),
             Output::PeersChanged(peers) => self.effects.peers_changed(peers),
--- a/controlplane/src/node.rs
+++ b/controlplane/src/node.rs
@@ -22,7 +22,7 @@
 use self::staleness::Evidence;
 use crate::Micros;
 use crate::bootstrap::Bootstrap;
-use crate::item_kinds::CONFIGURATION;
+use crate::item_kinds::{CONFIGURATION, CONFIGURATION_KEY};
 use crate::registry::Registry;
 use crate::rollout::Rollout;
 use crate::session_client::SessionClient;
@@ -72,6 +72,8 @@
     evidence: Evidence,
     /// The replica is the primary, perhaps without a lease at the moment.
     primary: bool,
+    /// The version of a newer configuration that has been offered and has not arrived.
+    expected_configuration: Option<u64>,
     version_deadlines: VersionDeadlines,
     machine_losses: usize,
     shutting_down: bool,
@@ -94,6 +96,7 @@
             servers: KnownServers::default(),
             evidence: Evidence::new(setup.revoke_within, setup.now),
             primary: false,
+            expected_configuration: None,
             version_deadlines: setup.version_deadlines,
             machine_losses: setup.machine_losses,
             shutting_down: false,
@@ -242,7 +245,9 @@
     }
 
     fn handle_gossip_outputs(&mut self, now: Micros, results: Vec<GossipOutput>, out: &mut Vec<Output>) {
+        let mut configuration_moved = false;
         for result in results {
+            configuration_moved |= concerns_configuration(&result);
             match result {
                 GossipOutput::Send { to, message } => {
                     out.push(Output::Send { to, content: Content::Gossip(message) });
@@ -260,6 +265,26 @@
                 }
             }
         }
+        if configuration_moved {
+            self.report_expected_configuration(out);
+        }
+    }
+
+    /// Reports whether a newer configuration is on its way, where that has changed.
+    fn report_expected_configuration(&mut self, out: &mut Vec<Output>) {
+        let expected = self.gossip.downloading(CONFIGURATION, CONFIGURATION_KEY).map(|stamp| stamp.major);
+        if expected != self.expected_configuration {
+            self.expected_configuration = expected;
+            out.push(Output::ConfigurationExpected(expected));
+        }
+    }
+}
+
+fn concerns_configuration(result: &GossipOutput) -> bool {
+    match result {
+        GossipOutput::Changed(item) => item.kind == CONFIGURATION,
+        GossipOutput::Fetch(event) => event.entry.kind == CONFIGURATION,
+        _ => false,
     }
 }
 
--- a/controlplane/src/node/messages.rs
+++ b/controlplane/src/node/messages.rs
@@ -111,6 +111,8 @@
     },
     /// Put this configuration in force.
     ApplyConfiguration(Arc<[u8]>),
+    /// A newer configuration exists that has not arrived here yet, of this version; or there is none any longer.
+    ConfigurationExpected(Option<u64>),
     /// A server has been registered, or has changed.
     ServerChanged(ServerEntry),
     /// A server has been removed.
--- a/controlplane/tests/regressions.rs
+++ b/controlplane/tests/regressions.rs
@@ -18,7 +18,7 @@
 use gradepaddle_controlplane::session_client::SessionClient;
 use gradepaddle_controlplane::session_table::{Session, SessionTable};
 use gradepaddle_controlplane::version_announcement::VersionDeadlines;
-use gradepaddle_gossip::{Aged, Item, Message, Stamp};
+use gradepaddle_gossip::{Aged, EncodingId, Item, Message, Offer, Stamp};
 use gradepaddle_placement::ServerState;
 use gradepaddle_proto::{Content, Decode, Encode, Envelope};
 use simulation::{Ending, Plan, World};
@@ -336,3 +336,32 @@
     }
     Ok(())
 }
+
+/// The data plane denied what a configuration allowed that this node had heard of and not received yet.
+#[gtest]
+fn a_configuration_that_is_on_its_way_is_expected() {
+    let mut driven = Driven::new(1);
+    let item = |version, payload| {
+        let stamp = Stamp { major: version, minor: 0 };
+        item_kinds::item(item_kinds::CONFIGURATION, item_kinds::CONFIGURATION_KEY, stamp, payload)
+    };
+    let expected = |out: &[Output]| -> Vec<Option<u64>> {
+        let expected = out.iter().filter_map(|output| match output {
+            Output::ConfigurationExpected(version) => Some(*version),
+            _ => None,
+        });
+        expected.collect()
+    };
+    let offer = |version| {
+        let entry = item(version, Vec::new()).entry();
+        let encoding = Some(EncodingId { bytes: 50_000, checksum: 7 });
+        let content = Content::Gossip(Message::Offer { offers: vec![Offer { entry, encoding }] });
+        Input::Envelope(Envelope { from: address(3), content })
+    };
+    expect_that!(expected(&driven.learn(vec![item(4, vec![1])])), eq(&vec![]));
+    expect_that!(expected(&driven.hand(offer(5))), eq(&vec![Some(5)]));
+    expect_that!(expected(&driven.hand(offer(5))), eq(&vec![]));
+    expect_that!(expected(&driven.hand(offer(7))), eq(&vec![Some(7)]));
+    expect_that!(expected(&driven.hand(offer(4))), eq(&vec![]));
+    expect_that!(expected(&driven.learn(vec![item(7, vec![2])])), eq(&vec![None]));
+}
--- a/dataplane/src/admission.rs
+++ b/dataplane/src/admission.rs
@@ -1,7 +1,7 @@
 //! Whether a request may begin at this node now.
 //!
 //! A node that drains, has no configuration or can't be sure of its keys rejects with a short `Retry-After`: the client
-//! reaches another node then.
+//! reaches another node then. So does one that knows of a newer configuration that it lacks, for what its own denies.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +23,11 @@
 /// After a start, a request that needs a key waits this long for evidence that keys are valid.
 const KEY_VALIDITY_WAIT: Duration = Duration::from_millis(700);
 
+/// A request that the configuration in force denies waits this long for a newer one that is on its way.
+const NEWER_CONFIGURATION_WAIT: Duration = Duration::from_millis(500);
+/// `Retry-After` of a node that lacks a newer configuration.
+const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(60);
+
 /// Routes a request that may begin now. Cancellation safe: nothing is reserved.
 ///
 /// # Errors
@@ -38,10 +43,43 @@
         plane.key_validity.wait_for_first(KEY_VALIDITY_WAIT).await;
     }
     // Evidence of key validity counts for the configuration in force now, which may have changed during the wait.
-    let Some(configuration) = plane.configuration() else {
-        return Err(LocalResponse::Unavailable { retry_after: UNCONFIGURED_RETRY_AFTER });
+    let routed = route(plane, head);
+    let Some(newer) = plane.newer_configuration().filter(|_| is_denied(&routed)) else {
+        return check_keys(plane, routed);
     };
-    let routed = route_request(&configuration, head, plane.shared_isolation());
+    plane.wait_for_version(newer, NEWER_CONFIGURATION_WAIT).await;
+    let routed = check_keys(plane, route(plane, head));
+    if is_denied(&routed) && plane.newer_configuration().is_some() {
+        return Err(LocalResponse::Unavailable { retry_after: OUTDATED_RETRY_AFTER });
+    }
+    routed
+}
+
+/// True if another configuration may allow the request.
+fn is_denied(routed: &Result<RoutedRequest, LocalResponse>) -> bool {
+    matches!(routed, Err(LocalResponse::NotFound | LocalResponse::Unauthorized))
+}
+
+/// Routes a request by the configuration in force.
+///
+/// # Errors
+///
+/// The response to a request that it does not allow, or to any while there is no configuration.
+fn route(plane: &DataPlane, head: &Head) -> Result<RoutedRequest, LocalResponse> {
+    let configuration =
+        plane.configuration().ok_or(LocalResponse::Unavailable { retry_after: UNCONFIGURED_RETRY_AFTER })?;
+    route_request(&configuration, head, plane.shared_isolation())
+}
+
+/// Passes on what does not depend on a key, or does while keys are known to be valid; records what is denied.
+///
+/// # Errors
+///
+/// The response to a request that is not begun.
+fn check_keys(
+    plane: &DataPlane,
+    routed: Result<RoutedRequest, LocalResponse>,
+) -> Result<RoutedRequest, LocalResponse> {
     let depends_on_key = match &routed {
         Ok(routed) => routed.tenant.is_some(),
         Err(response) => *response == LocalResponse::Unauthorized,
@@ -51,7 +89,7 @@
         return Err(LocalResponse::Unavailable { retry_after: KEYS_EXPIRED_RETRY_AFTER });
     }
     if let Err(denial) = &routed {
-        plane.denied_requests.record(plane, denial, configuration.version);
+        plane.denied_requests.record(plane, denial);
     }
     routed
 }
--- a/dataplane/src/data_plane.rs
+++ b/dataplane/src/data_plane.rs
@@ -56,8 +56,10 @@
     /// The origin of [`DataPlane::now`].
     pub(crate) started: Instant,
     configuration: RefCell<Option<Rc<Configuration>>>,
-    /// Becomes true with the first configuration.
-    configured: watch::Sender<bool>,
+    /// The version of the configuration in force, 0 before the first.
+    version_in_force: watch::Sender<u64>,
+    /// The version of a newer configuration that exists and has not arrived here yet.
+    expected_version: Cell<Option<u64>>,
     /// Hash of the set of isolated tenants.
     shared_isolation: Cell<u64>,
     control_connected: Cell<bool>,
@@ -82,7 +84,8 @@
             versions_changed: watch::Sender::new(()),
             started: Instant::now(),
             configuration: RefCell::new(None),
-            configured: watch::Sender::new(false),
+            version_in_force: watch::Sender::new(0),
+            expected_version: Cell::new(None),
             shared_isolation: Cell::new(0),
             control_connected: Cell::new(false),
         })
@@ -101,18 +104,34 @@
     /// The configuration in force, waited for at most this long if there is none yet. Cancellation safe.
     pub(crate) async fn wait_for_configuration(&self, limit: Duration) -> Option<Rc<Configuration>> {
         if self.configuration.borrow().is_none() {
-            let mut configured = self.configured.subscribe();
-            // After a time-out the caller gets `None`.
-            let _ = timeout(limit, configured.wait_for(|configured| *configured)).await;
+            self.wait_for_version(1, limit).await;
         }
         self.configuration()
     }
 
+    /// Waits until a configuration of this version or a newer one is in force, at most this long. Cancellation safe.
+    pub(crate) async fn wait_for_version(&self, version: u64, limit: Duration) {
+        let mut in_force = self.version_in_force.subscribe();
+        // After a time-out the caller finds an older one in force, or none.
+        let _ = timeout(limit, in_force.wait_for(|in_force| *in_force >= version)).await;
+    }
+
+    /// Says which newer configuration exists that has not arrived here yet, if there is one.
+    pub fn set_expected_configuration(&self, version: Option<u64>) {
+        self.expected_version.set(version);
+    }
+
+    /// The version of a newer configuration than the one in force that is known to exist.
+    pub(crate) fn newer_configuration(&self) -> Option<u64> {
+        self.expected_version.get().filter(|expected| *expected > *self.version_in_force.borrow())
+    }
+
     /// Replaces the configuration in force. `shared_isolation`: see [`DataPlane::shared_isolation`].
     pub(crate) fn replace_configuration(&self, configuration: Rc<Configuration>, shared_isolation: u64) {
         self.shared_isolation.set(shared_isolation);
+        let version = configuration.version;
         *self.configuration.borrow_mut() = Some(configuration);
-        self.configured.send_replace(true);
+        self.version_in_force.send_replace(version);
     }
 
     /// Sets how many nodes there are, this one included.
--- a/dataplane/src/denied_requests.rs
+++ b/dataplane/src/denied_requests.rs
@@ -21,8 +21,9 @@
 }
 
 impl DeniedRequests {
-    /// Records a request that was denied under configuration `version`.
-    pub(crate) fn record(&self, plane: &DataPlane, denial: &LocalResponse, version: u64) {
+    /// Records a request that was denied under the configuration in force.
+    pub(crate) fn record(&self, plane: &DataPlane, denial: &LocalResponse) {
+        let Some(version) = plane.configuration().map(|configuration| configuration.version) else { return };
         let count = self.unlogged.get() + 1;
         let now = plane.now();
         if now < self.next_log_at.get() {
--- a/system/src/effects.rs
+++ b/system/src/effects.rs
@@ -89,6 +89,10 @@
         }
     }
 
+    fn configuration_expected(&self, version: Option<u64>) {
+        self.plane.set_expected_configuration(version);
+    }
+
     fn server_changed(&self, entry: ServerEntry) {
         if !matches!(entry.state, ServerState::Ready) {
             self.plane.close_idle_connections(&entry.id);
