Confirm the version of a configuration that is read, in place of sending it

An operator who read the configuration through a node behind a narrow link could get 503 each time: the body of some hundred kilobytes came from the primary, and a call without a body ends after 750 ms (10 Mbit/s carry 0.9 MB meanwhile, beside all else).

A forwarded read now names the version that the node has; where that is the newest one, the primary answers 304 without a body, within its lease as before, and the node answers with its own copy.

--- a/controlplane/src/node/api_calls.rs
+++ b/controlplane/src/node/api_calls.rs
@@ -6,7 +6,7 @@
 
 use gradepaddle_config::{Configuration, Findings, Patch};
 use gradepaddle_control::{Change, ControlState, Input as ReplicaInput, Outcome, ProposalId};
-use gradepaddle_gossip::{ReplicationFactor, Stamp};
+use gradepaddle_gossip::{Item, ReplicationFactor, Stamp};
 use gradepaddle_proto::{Content, ControlCall, ForwardedCall, ForwardedReply};
 
 use super::{CallId, Node, Output};
@@ -23,6 +23,9 @@
 /// So much longer for each byte of its body, which has to reach the primary and its backups first.
 const CALL_TIMEOUT_PER_BYTE: Micros = 1;
 
+/// Between nodes: the caller's configuration is the newest one.
+const NOT_MODIFIED: u16 = 304;
+
 /// Names a call that waits for a decision at this node, in messages to the primary and in proposals. It also names queries
 /// between nodes, so that no two messages of one process have the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -72,6 +75,8 @@
     decider: SocketAddrV4,
     since: Micros,
     until: Micros,
+    /// For a read of the configuration that was forwarded: the one that this node had then.
+    known_configuration: Option<Arc<[u8]>>,
 }
 
 /// A server's call that waits until other nodes have acknowledged what it published.
@@ -186,8 +191,14 @@
         let primary = self.session.view().primary.filter(|primary| *primary != self.own);
         match primary {
             Some(primary) if may_forward => {
-                let id = self.calls.add(PendingCall::new(now, caller, primary, &call));
-                let content = Content::ForwardedCall(ForwardedCall { call_id: id.0, call });
+                let mut pending = PendingCall::new(now, caller, primary, &call);
+                let mut known_version = 0;
+                if let (ControlCall::GetConfiguration, Some(known)) = (&call, self.known_configuration()) {
+                    known_version = known.stamp.major;
+                    pending.known_configuration = Some(Arc::clone(&known.payload));
+                }
+                let id = self.calls.add(pending);
+                let content = Content::ForwardedCall(ForwardedCall { call_id: id.0, call, known_version });
                 out.push(Output::Send { to: primary, content });
             }
             _ => respond(now, caller, Response::unavailable("no primary is known"), out),
@@ -205,7 +216,9 @@
     fn decide_here(&mut self, now: Micros, caller: Caller, call: ControlCall, out: &mut Vec<Output>) {
         let pending = PendingCall::new(now, caller, self.own, &call);
         let change = match call {
-            ControlCall::GetConfiguration => return respond(now, caller, self.read_configuration(now), out),
+            ControlCall::GetConfiguration => {
+                return respond(now, caller, self.read_configuration(now, 0), out);
+            }
             ControlCall::PutConfiguration { if_match, version, body } => {
                 let fingerprint = fingerprint_number(&body);
                 Change::PutConfiguration { if_match, version, body, fingerprint }
@@ -255,12 +268,18 @@
         }
     }
 
-    /// The newest configuration, valid as long as the lease lasts.
-    fn read_configuration(&self, now: Micros) -> Response {
+    /// The newest configuration that other nodes have told of.
+    fn known_configuration(&self) -> Option<&Item> {
+        self.gossip.get(CONFIGURATION, CONFIGURATION_KEY)
+    }
+
+    /// The newest configuration, valid as long as the lease lasts; without its body for a caller that has this version.
+    fn read_configuration(&self, now: Micros, known_version: u64) -> Response {
         let Some(read) = self.replica.as_ref().and_then(|replica| replica.read(now)) else {
             return Response::unavailable("this node does not lead");
         };
         let response = match &read.state.configuration {
+            Some(configuration) if configuration.version == known_version => Response::bare(NOT_MODIFIED),
             Some(configuration) => Response { body: Arc::clone(&configuration.body), ..Response::bare(200) },
             None => Response::message(404, "there is no configuration yet"),
         };
@@ -288,7 +307,12 @@
         forwarded: ForwardedCall,
         out: &mut Vec<Output>,
     ) {
-        self.decide(now, Caller::Peer(from, PendingCallId(forwarded.call_id)), forwarded.call, false, out);
+        let caller = Caller::Peer(from, PendingCallId(forwarded.call_id));
+        if forwarded.call == ControlCall::GetConfiguration && self.may_decide(now, &forwarded.call) {
+            let response = self.read_configuration(now, forwarded.known_version);
+            return respond(now, caller, response, out);
+        }
+        self.decide(now, caller, forwarded.call, false, out);
     }
 
     /// Handles the reply to a forwarded call, if it comes from the node to which that was forwarded. The primary's lease
@@ -308,7 +332,10 @@
         }
         let Some(pending) = self.calls.pending.remove(&id) else { return };
         let lease_end = pending.since.saturating_add(reply.lease_remaining);
-        let response = Response { status: reply.status, body: reply.body.clone(), valid_until: None };
+        let response = match pending.known_configuration {
+            Some(body) if reply.status == NOT_MODIFIED => Response { body, ..Response::bare(200) },
+            _ => Response { status: reply.status, body: reply.body.clone(), valid_until: None },
+        };
         respond(now, pending.caller, response.before(lease_end.min(pending.until)), out);
     }
 
@@ -349,7 +376,8 @@
             ControlCall::PatchConfiguration { patch, .. } => patch.len() as Micros,
             _ => 0,
         };
-        PendingCall { caller, decider, since: now, until: now + CALL_TIMEOUT + bytes * CALL_TIMEOUT_PER_BYTE }
+        let until = now + CALL_TIMEOUT + bytes * CALL_TIMEOUT_PER_BYTE;
+        PendingCall { caller, decider, since: now, until, known_configuration: None }
     }
 }
 
--- a/proto/src/call.rs
+++ b/proto/src/call.rs
@@ -43,6 +43,9 @@
     pub call_id: u64,
     /// The call itself.
     pub call: ControlCall,
+    /// The version of the configuration that the forwarding node has, 0 if it has none. Where that is the newest one, a
+    /// read of the configuration is answered by 304 without a body.
+    pub known_version: u64,
 }
 
 /// The primary's answer to a [`ForwardedCall`].
@@ -114,12 +117,17 @@
     fn encode(&self, to: &mut FieldWriter) {
         to.uint64(1, self.call_id);
         to.message(2, &self.call);
+        to.uint64(3, self.known_version);
     }
 }
 
 impl Decode for ForwardedCall {
     fn decode(fields: &Fields<'_>) -> Result<Self, DecodeError> {
-        Ok(ForwardedCall { call_id: fields.uint64(1), call: fields.message("forward", 2)? })
+        Ok(ForwardedCall {
+            call_id: fields.uint64(1),
+            call: fields.message("forward", 2)?,
+            known_version: fields.uint64(3),
+        })
     }
 }
 
