Send reads of a long configuration to the primary, whose link is wide

Cause: a caller waits for a second; a body of 1.25 MB takes 0.95 to 1.0 s on a link of 10 Mbit/s, beside nothing else.

Shorter reads are answered as before. The soak's operator follows redirections.

Test: a_long_configuration_is_read_at_the_primary (without the change the calls are forwarded and have no answer yet).

--- a/controlplane/src/api.rs
+++ b/controlplane/src/api.rs
@@ -1,5 +1,6 @@
 //! The control API: which calls there are, by method and path, and the responses to them. No I/O.
 
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use gradepaddle_config::{Configuration, Findings, Patch, fingerprint};
@@ -13,6 +14,8 @@
 const PATCH_PREFIX: &[u8] = b"PATCH ";
 /// The status of a response from which nothing follows about the call.
 const UNAVAILABLE: u16 = 503;
+/// The status of a response that sends the caller to another node.
+const TEMPORARY_REDIRECT: u16 = 307;
 
 /// A well-formed call.
 #[derive(Clone, Debug)]
@@ -46,6 +49,8 @@
     /// From this time of the driver's clock on, it must not be sent: the lease under which it was decided may have
     /// passed to another primary. `None` where no lease is needed.
     pub valid_until: Option<Micros>,
+    /// The control address at which the call is to be made instead (307).
+    pub location: Option<SocketAddrV4>,
 }
 
 /// The body of a response that rejects a call.
@@ -64,14 +69,19 @@
 impl Response {
     /// A response without a body.
     pub fn bare(status: u16) -> Self {
-        Response { status, body: Arc::from([]), valid_until: None }
+        Response { status, body: Arc::from([]), valid_until: None, location: None }
+    }
+
+    /// Sends the caller to another node.
+    pub fn redirect(location: SocketAddrV4) -> Self {
+        Response { location: Some(location), ..Response::bare(TEMPORARY_REDIRECT) }
     }
 
     /// A response with a message for people.
     pub fn message(status: u16, text: &str) -> Self {
         // Serializing a struct of one string can't fail.
         let body = serde_json::to_vec(&Message { message: text }).unwrap_or_default();
-        Response { status, body: Arc::from(body), valid_until: None }
+        Response { body: Arc::from(body), ..Response::bare(status) }
     }
 
     /// This response, to be sent before that time only. One from which nothing follows may be sent at any time.
--- a/controlplane/src/api_server.rs
+++ b/controlplane/src/api_server.rs
@@ -53,7 +53,7 @@
             Ok(Err(_)) | Err(_) => return,
         };
         // The lease is checked last of all: the process may have been stopped since the driver decided.
-        let bytes = encode(&response.at(clock.now()), keep_alive, &pool);
+        let bytes = encode(&response.at(clock.now()), head.path(), keep_alive, &pool);
         if connection.write(&[&bytes]).await.is_err() {
             return;
         }
@@ -87,10 +87,11 @@
     }
 }
 
-fn encode(response: &Response, keep_alive: bool, pool: &Pool) -> Chain {
+fn encode(response: &Response, path: &str, keep_alive: bool, pool: &Pool) -> Chain {
     let mut out = pool.chain();
     let reason = match response.status {
         200 => "OK",
+        307 => "Temporary Redirect",
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
@@ -103,6 +104,9 @@
     if length > 0 {
         out.push(b"Content-Type: application/json\r\n");
     }
+    if let Some(location) = response.location {
+        out.push(format!("Location: http://{location}{path}\r\n").as_bytes());
+    }
     if !keep_alive {
         out.push(b"Connection: close\r\n");
     }
--- a/controlplane/src/node.rs
+++ b/controlplane/src/node.rs
@@ -52,6 +52,8 @@
     pub revoke_within: Option<Micros>,
     /// The fault tolerance: machines that may be lost at once.
     pub machine_losses: usize,
+    /// The port of the control API, the same on all machines.
+    pub control_port: u16,
     /// The time of the driver's clock.
     pub now: Micros,
 }
@@ -76,6 +78,7 @@
     expected_configuration: Option<u64>,
     version_deadlines: VersionDeadlines,
     machine_losses: usize,
+    control_port: u16,
     shutting_down: bool,
     next_tick: Micros,
     next_slow_tick: Micros,
@@ -99,6 +102,7 @@
             expected_configuration: None,
             version_deadlines: setup.version_deadlines,
             machine_losses: setup.machine_losses,
+            control_port: setup.control_port,
             shutting_down: false,
             next_tick: setup.now,
             next_slow_tick: setup.now,
--- a/controlplane/src/node/api_calls.rs
+++ b/controlplane/src/node/api_calls.rs
@@ -23,6 +23,8 @@
 /// So much longer for each byte of its body, which has to reach the primary and its backups first.
 const CALL_TIMEOUT_PER_BYTE: Micros = 1;
 
+/// A longer configuration is read at the primary: callers wait for a second, in which 10 Mbit/s carry 1.25 MB.
+const REDIRECTED_READ_BYTES: usize = 256 * 1024;
 /// Between nodes: the caller's configuration is the newest one.
 const NOT_MODIFIED: u16 = 304;
 
@@ -190,6 +192,9 @@
         }
         let primary = self.session.view().primary.filter(|primary| *primary != self.own);
         match primary {
+            Some(primary) if may_forward && self.is_long_read(&call) => {
+                respond(now, caller, Response::redirect(self.control_address(primary)), out);
+            }
             Some(primary) if may_forward => {
                 let mut pending = PendingCall::new(now, caller, primary, &call);
                 let mut known_version = 0;
@@ -205,6 +210,21 @@
         }
     }
 
+    /// Whether a call reads a configuration that a narrow link carries too slowly for its caller. Machines of the core have
+    /// wide links.
+    fn is_long_read(&self, call: &ControlCall) -> bool {
+        let is_member = self.session.view().members.contains(&self.own);
+        let known = self.known_configuration();
+        *call == ControlCall::GetConfiguration
+            && !is_member
+            && known.is_some_and(|item| item.payload.len() > REDIRECTED_READ_BYTES)
+    }
+
+    /// The control address of another node: ports are the same on all machines.
+    fn control_address(&self, node: SocketAddrV4) -> SocketAddrV4 {
+        SocketAddrV4::new(*node.ip(), self.control_port)
+    }
+
     fn may_decide(&self, now: Micros, call: &ControlCall) -> bool {
         let Some(replica) = &self.replica else { return false };
         match call {
@@ -334,7 +354,7 @@
         let lease_end = pending.since.saturating_add(reply.lease_remaining);
         let response = match pending.known_configuration {
             Some(body) if reply.status == NOT_MODIFIED => Response { body, ..Response::bare(200) },
-            _ => Response { status: reply.status, body: reply.body.clone(), valid_until: None },
+            _ => Response { body: reply.body.clone(), ..Response::bare(reply.status) },
         };
         respond(now, pending.caller, response.before(lease_end.min(pending.until)), out);
     }
@@ -414,7 +434,7 @@
     match caller {
         Caller::Local(call_id) => out.push(Output::Respond { call_id, response }),
         Caller::Peer(to, PendingCallId(call_id)) => {
-            let Response { status, body, valid_until } = response;
+            let Response { status, body, valid_until, .. } = response;
             let lease_remaining = valid_until.map_or(0, |until| until - now);
             let reply = ForwardedReply { call_id, status, body, lease_remaining };
             out.push(Output::Send { to, content: Content::ForwardedReply(reply) });
--- a/controlplane/src/node/status.rs
+++ b/controlplane/src/node/status.rs
@@ -97,7 +97,7 @@
         };
         // Serializing these types can't fail.
         let body = serde_json::to_vec(&status).unwrap_or_default();
-        Response { status: 200, body: body.into(), valid_until: None }
+        Response { body: body.into(), ..Response::bare(200) }
     }
 
     fn balancer_status(&self, members: &[SocketAddrV4]) -> Vec<BalancerStatus> {
--- a/controlplane/tests/golden/lone_node.rs
+++ b/controlplane/tests/golden/lone_node.rs
@@ -55,6 +55,7 @@
             version_deadlines: VersionDeadlines { from_publication: 8 * SECOND, from_announcement: None },
             revoke_within: None,
             machine_losses: 0,
+            control_port: 9_100,
             now: CLOCK_START,
         });
         LoneNode { node, now: CLOCK_START, pushed: Vec::new(), answers: Vec::new() }
--- a/controlplane/tests/leases.rs
+++ b/controlplane/tests/leases.rs
@@ -13,10 +13,12 @@
 use gradepaddle_controlplane::api_server::serve_api;
 use gradepaddle_controlplane::clock::Clock;
 use gradepaddle_controlplane::driver::DriverEvent;
+use gradepaddle_controlplane::item_kinds::{self, CONFIGURATION, CONFIGURATION_KEY};
 use gradepaddle_controlplane::node::{CallId, Input, Node, Output};
 use gradepaddle_controlplane::order::{Order, OrderOutcome};
 use gradepaddle_controlplane::server_client::{self, OrderPermit};
 use gradepaddle_controlplane::{CLOCK_START, Micros};
+use gradepaddle_gossip::{Aged, Message, Stamp};
 use gradepaddle_http::buffers::Pool;
 use gradepaddle_proto::{Content, ControlCall, Envelope, ForwardedCall, ForwardedReply};
 use simulation::operator::body;
@@ -516,3 +518,35 @@
     }
     answer(&outputs)
 }
+
+/// A caller waits for a second, in which a narrow link does not carry a long configuration: the primary's machine has a
+/// wide one.
+#[gtest]
+fn a_long_configuration_is_read_at_the_primary() -> Result<()> {
+    let mut world = World::new(Plan { faults: 0, ..Plan::new(5, 3, 1) }, 1);
+    world.run_until(6_800 * MS);
+    let leads = |node: &usize| {
+        let process = world.machines[*node].process.as_ref().expect("it runs");
+        process.observed.leading.is_some()
+    };
+    let primary = (0..5).find(leads).expect("somebody leads");
+    let mut fleet = Fleet { world, primary };
+    let read = || Call::Control(ControlCall::GetConfiguration);
+    let newer = |bytes: usize, version| {
+        let stamp = Stamp { major: version, minor: 0 };
+        let item = item_kinds::item(CONFIGURATION, CONFIGURATION_KEY, stamp, vec![b' '; bytes]);
+        let items = vec![Aged { item, age_ms: 0 }];
+        Content::Gossip(Message::Push { items, acknowledge: false, repair: false })
+    };
+    for (bytes, version, redirects) in [(256 * 1024, 10_000, false), (256 * 1024 + 1, 10_001, true)] {
+        for node in (0..5).filter(|node| *node != primary) {
+            let input = fleet.envelope(primary, newer(bytes, version));
+            fleet.hand(node, 0, input);
+            // Members of the core have wide links themselves.
+            let location = SocketAddrV4::new(*fleet.address(primary).ip(), 9_100);
+            let expected = (redirects && node >= 3).then(|| Response::redirect(location));
+            expect_that!(answer(&fleet.call(node, read())), eq(&expected), "node {node}, {bytes} bytes");
+        }
+    }
+    Ok(())
+}
--- a/controlplane/tests/regressions.rs
+++ b/controlplane/tests/regressions.rs
@@ -40,6 +40,7 @@
             version_deadlines: VersionDeadlines { from_publication: 8 * SECOND, from_announcement: None },
             revoke_within: None,
             machine_losses: 1,
+            control_port: 9_100,
             now: 0,
         });
         Driven { node, now: 0 }
--- a/controlplane/tests/response_matching.rs
+++ b/controlplane/tests/response_matching.rs
@@ -41,6 +41,7 @@
             version_deadlines: VersionDeadlines { from_publication: 8 * SECOND, from_announcement: None },
             revoke_within: None,
             machine_losses: 1,
+            control_port: 9_100,
             now: 0,
         });
         let mut caller = Caller(node);
--- a/controlplane/tests/simulation/machine.rs
+++ b/controlplane/tests/simulation/machine.rs
@@ -163,6 +163,7 @@
             version_deadlines: VersionDeadlines { from_publication: VERSION_WITHIN, from_announcement: None },
             revoke_within: boot.revoke_within,
             machine_losses: boot.losses,
+            control_port: 9_100,
             now: CLOCK_START,
         });
         self.process = Some(Process {
--- a/controlplane/tests/version_deadlines.rs
+++ b/controlplane/tests/version_deadlines.rs
@@ -29,6 +29,7 @@
         version_deadlines: VersionDeadlines { from_publication: WITHIN, from_announcement: Some(IN_ALL) },
         revoke_within: None,
         machine_losses: 1,
+        control_port: 9_100,
         now: 0,
     })
 }
--- a/scripts/soaking/operator.py
+++ b/scripts/soaking/operator.py
@@ -7,7 +7,7 @@
 
 from . import nodes
 from .servers import SERVICE
-from .wire import Ended, Truncated, call
+from .wire import Ended, Truncated, call, read_following
 
 HOST = "soak.example"
 #: Nodes that are asked whether a change is in force.
@@ -105,7 +105,7 @@
             for number in list(waiting):
                 node = self.fleet.nodes[number]
                 try:
-                    answer = await call(node.address(nodes.CONTROL), "GET /v1/config HTTP/1.1", {}, within=2.0)
+                    answer = await read_following(node.address(nodes.CONTROL), "/v1/config")
                 except (OSError, TimeoutError, Ended, Truncated) as error:
                     waiting[number] = repr(error)
                     continue
--- a/scripts/soaking/wire.py
+++ b/scripts/soaking/wire.py
@@ -75,6 +75,17 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
+async def read_following(address, path, within=2.0):
+    """A GET that follows two redirections, as callers of the control API do. Raises as `call` does."""
+    for _ in range(2):
+        answer = await call(address, f"GET {path} HTTP/1.1", {}, within=within)
+        if answer.status != 307:
+            return answer
+        host, _, path = answer.fields["location"].removeprefix("http://").partition("/")
+        address, path = (host.split(":")[0], int(host.split(":")[1])), f"/{path}"
+    return await call(address, f"GET {path} HTTP/1.1", {}, within=within)
+
+
 async def call(address, start, fields, body=b"", within=5.0):
     """One exchange on a connection of its own. Raises OSError, Ended, Truncated or TimeoutError."""
     async with asyncio.timeout(within):
--- a/system/src/planes.rs
+++ b/system/src/planes.rs
@@ -74,6 +74,7 @@
             .revoke_everywhere
             .then(|| micros(settings.bounds.revoke.saturating_sub(REVOKE_MARGIN))),
         machine_losses: losses,
+        control_port: settings.listen.control.map_or(0, |address| address.port()),
         now: CLOCK_START,
     })
 }
