--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -4,6 +4,7 @@
 //! couldn't run. `stand-ins model-server ...` is one model server; cases start it as a process of its own.
 
 mod first_start;
+mod forgotten_leave;
 mod http;
 mod model_server;
 mod platform;
@@ -30,6 +31,7 @@
             let (program, folder, trouble) = (PathBuf::from(program), PathBuf::from(folder), trouble != "0");
             match case {
                 "first-start" => first_start::run(&program, &folder, trouble),
+                "forgotten-leave" => forgotten_leave::run(&program, &folder, trouble),
                 "truncated-stream" => truncated_stream::run(&program, &folder, trouble),
                 _ => Err(format!("unknown case {case}")),
             }
--- a/review/stand-ins/model_server.rs
+++ b/review/stand-ins/model_server.rs
@@ -27,7 +27,10 @@
     let Ok(listener) = TcpListener::bind(address) else { return ExitCode::from(2) };
     let control: Vec<SocketAddr> = control.iter().filter_map(|address| address.parse().ok()).collect();
     let (own, at) = (id.to_owned(), address.to_owned());
-    spawn(move || register(&own, &at, &control));
+    // Without control addresses, its heartbeats are sent by the case.
+    if !control.is_empty() {
+        spawn(move || register(&own, &at, &control));
+    }
     for stream in listener.incoming().flatten() {
         let own = id.to_owned();
         spawn(move || serve(stream, &own));
@@ -35,16 +38,21 @@
     ExitCode::SUCCESS
 }
 
+/// The body of a heartbeat of a ready server.
+pub fn heartbeat(address: &str, calls: u64) -> String {
+    format!(
+        "{{\"backend\":\"advice\",\"address\":\"{address}\",\"zone\":\"hall-1\",\"version\":\"v1\",\"slots\":48,\"state\":\"ready\",\
+         \"warmupLeftMs\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"{MODEL}\",\"version\":{VERSION},\"adapters\":[]}}],\
+         \"callCount\":{calls}}}"
+    )
+}
+
 /// Sends heartbeats to one balancer, and moves on to the next one where a heartbeat fails.
 fn register(id: &str, address: &str, control: &[SocketAddr]) {
     let (mut calls, mut chosen) = (0, 0);
     loop {
         calls += 1;
-        let body = format!(
-            "{{\"backend\":\"advice\",\"address\":\"{address}\",\"zone\":\"hall-1\",\"version\":\"v1\",\"slots\":48,\"state\":\"ready\",\
-             \"warmupLeftMs\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"{MODEL}\",\"version\":{VERSION},\"adapters\":[]}}],\
-             \"callCount\":{calls}}}"
-        );
+        let body = heartbeat(address, calls);
         let to = control[chosen % control.len()];
         let head = format!(
             "PUT /v1/servers/{id} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\nConnection: close\r\n"
--- a/review/stand-ins/truncated_stream.rs
+++ b/review/stand-ins/truncated_stream.rs
@@ -24,7 +24,10 @@
 /// Longest wait for the deployment to serve.
 const START_LIMIT: Duration = Duration::from_secs(30);
 
-const CONFIGURATION: &str = r#"{"version":1,"routes":[{"name":"r-vraag","host":"advice.example","pathPrefix":"/vraag/","kind":"streaming","timeoutMs":15000,"targetMs":400,"priority":0,"backend":"advice","tries":1,"public":false,"sticky":true,"resumable":false,"gap_aim_ms":400},{"name":"r-check","host":"advice.example","pathPrefix":"/check/","kind":"streaming","timeoutMs":6000,"targetMs":800,"priority":1,"backend":"advice","tries":2,"public":false,"sticky":true,"resumable":true,"gap_aim_ms":400}],"backends":[{"name":"advice","healthPath":"/health","maxConns":310,"protocol":"h1","tls":false,"engine":{"slots":48,"cacheTokens":105065,"tokenBytes":327680,"linkMbps":1100000.0,"stride":4,"maxInFlight":12,"models":[{"name":"advisor"}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"customers":[{"name":"bouw","apiKeys":["key-of-bouw"],"priority":1,"isolated":false}]}"#;
+/// The subject of all requests.
+const SUBJECT: u32 = 0x5c1e_07a2;
+
+pub const CONFIGURATION: &str = r#"{"version":1,"routes":[{"name":"r-vraag","host":"advice.example","pathPrefix":"/vraag/","kind":"streaming","timeoutMs":15000,"targetMs":400,"priority":0,"backend":"advice","tries":1,"public":false,"sticky":true,"resumable":false,"gap_aim_ms":400},{"name":"r-check","host":"advice.example","pathPrefix":"/check/","kind":"streaming","timeoutMs":6000,"targetMs":800,"priority":1,"backend":"advice","tries":2,"public":false,"sticky":true,"resumable":true,"gap_aim_ms":400}],"backends":[{"name":"advice","healthPath":"/health","maxConns":310,"protocol":"h1","tls":false,"engine":{"slots":48,"cacheTokens":105065,"tokenBytes":327680,"linkMbps":1100000.0,"stride":4,"maxInFlight":12,"models":[{"name":"advisor"}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"customers":[{"name":"bouw","apiKeys":["key-of-bouw"],"priority":1,"isolated":false}]}"#;
 
 /// What a stream's server did with it last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,7 +59,7 @@
             let record = record.clone();
             spawn(move || {
                 record.line(&format!("client sends {id} to {to}"));
-                let response = ask(to, route, &id);
+                let response = ask(to, route, &id, SUBJECT);
                 (id, response)
             })
         })
@@ -117,7 +120,7 @@
 }
 
 /// Sends the configuration until it is taken, and requests until each machine serves one.
-fn wait_until_serving(platform: &Platform, record: &Record) -> Result<(), String> {
+pub fn wait_until_serving(platform: &Platform, record: &Record) -> Result<(), String> {
     let until = Instant::now() + START_LIMIT;
     let mut configured = false;
     let mut machine = 0;
@@ -144,7 +147,7 @@
             continue;
         }
         number += 1;
-        let response = ask(platform.front(machine), "vraag", &format!("first-{number}"));
+        let response = ask(platform.front(machine), "vraag", &format!("first-{number}"), SUBJECT);
         if response.status == 200 && response.end == End::Complete {
             record.line(&format!("machine {machine} serves"));
             machine += 1;
@@ -156,14 +159,14 @@
     Err("the deployment doesn't serve".to_owned())
 }
 
-/// A client's request.
-fn ask(to: SocketAddr, route: &str, id: &str) -> Response {
+/// A client's request; `subject` is the id of the first, shared chunk of its prompt.
+pub fn ask(to: SocketAddr, route: &str, id: &str, subject: u32) -> Response {
     let deadline = if route == "vraag" { 15_000 } else { 6_000 };
     let own_chunk: String =
         id.bytes().map(|byte| format!("{byte:02x}")).collect::<String>().chars().rev().take(12).collect();
     let head = format!(
         "POST /{route}/ask HTTP/1.1\r\nHost: advice.example\r\nX-Request-Id: {id}\r\nX-Api-Key: key-of-bouw\r\nX-Model: advisor\r\n\
-         X-Token-Count: 826,{}\r\nX-Prompt-Prefix: 5c1e07a2:198,{own_chunk}:628\r\nX-Deadline-Ms: {deadline}\r\nConnection: close\r\n",
+         X-Token-Count: 826,{}\r\nX-Prompt-Prefix: {subject:x}:198,{own_chunk}:628\r\nX-Deadline-Ms: {deadline}\r\nConnection: close\r\n",
         EVENTS * 2
     );
     http::request(to, &head, &[b'x'; 1700], Duration::from_millis(deadline))
