--- a/review/stand-ins/first_start.rs
+++ b/review/stand-ins/first_start.rs
@@ -1,4 +1,4 @@
-//! Case 2: one core machine is lost during the first start, before the first configuration.
+//! Case 2: one core machine, a seed, is replaced during the first start, before the first configuration.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -7,17 +7,17 @@
 
 use crate::Verdict;
 use crate::http::{self, End, Response};
-use crate::platform::{MACHINES, Platform};
+use crate::platform::{MACHINES, Platform, REPLACEMENT};
 use crate::record::Record;
 
-/// When the machine is lost, after the start of all machines.
+/// When the machine is gone for good, after the start of all machines.
 const LOST_AT: Duration = Duration::from_millis(800);
-/// When it is back, with its disk.
-const BACK_AT: Duration = Duration::from_secs(22);
+/// When an empty machine at another address takes its place: two seconds later.
+const REPLACED_AT: Duration = Duration::from_millis(2800);
 /// When the operator first sends the configuration.
 const OPERATOR_AT: Duration = Duration::from_millis(1000);
 /// End of the case.
-const END_AT: Duration = Duration::from_secs(45);
+const END_AT: Duration = Duration::from_secs(30);
 /// `inTouchMs`: the core is stable this long after the last start or kill of one of its machines.
 const IN_TOUCH: Duration = Duration::from_millis(3000);
 /// `ackWithinMs` and 3 ms for the only route.
@@ -42,19 +42,28 @@
     let started = Instant::now();
     let mut unsettled_at = started;
     let mut lost = !trouble;
-    let mut back = !trouble;
+    let mut replaced = !trouble;
     let mut longest_wait = Duration::ZERO;
-    let mut operator = Operator { next: 0, pause: Duration::ZERO, send_at: started + OPERATOR_AT };
+    let mut operator = Operator {
+        machines: (0..MACHINES).collect(),
+        next: 0,
+        pause: Duration::ZERO,
+        send_at: started + OPERATOR_AT,
+    };
     while started.elapsed() < END_AT {
         if !lost && started.elapsed() >= LOST_AT {
             nodes[0].kill();
             (lost, unsettled_at) = (true, Instant::now());
-            record.line("machine 0, one of the seeds, is lost: SIGKILL");
+            record.line("machine 0, one of the seeds, is gone for good: SIGKILL");
         }
-        if !back && started.elapsed() >= BACK_AT {
-            nodes[0] = platform.start_node(0, false)?;
-            (back, unsettled_at) = (true, Instant::now());
-            record.line("machine 0 is back on its disk, firstBoot false");
+        if !replaced && started.elapsed() >= REPLACED_AT {
+            nodes[0] = platform.start_node(REPLACEMENT, false)?;
+            (replaced, unsettled_at) = (true, Instant::now());
+            operator.machines = vec![1, 2, REPLACEMENT];
+            record.line(&format!(
+                "machine {REPLACEMENT} takes its place, control {}, empty disk, firstBoot false",
+                platform.control(REPLACEMENT)
+            ));
         }
         if nodes.iter_mut().skip(1).any(|node| !node.is_running()) {
             return Err("a node that was not killed has ended".to_owned());
@@ -68,7 +77,7 @@
         longest_wait = longest_wait.max(Instant::now().saturating_duration_since(waits_since));
         sleep(Duration::from_millis(20));
     }
-    for machine in 0..MACHINES {
+    for machine in operator.machines.clone() {
         let Response { status, body, .. } = get(platform.control(machine), "/v1/status");
         let body = String::from_utf8_lossy(&body).replace(['\n', ' '], "");
         record.line(&format!(
@@ -88,6 +97,8 @@
 
 /// The operator: sends the first configuration until it is taken, to one balancer after the other.
 struct Operator {
+    /// The machines in its list.
+    machines: Vec<usize>,
     next: usize,
     pause: Duration,
     send_at: Instant,
@@ -96,7 +107,7 @@
 impl Operator {
     /// Sends the configuration once; true if it was acknowledged.
     fn send(&mut self, platform: &Platform, record: &Record) -> bool {
-        let machine = self.next % MACHINES;
+        let machine = self.machines[self.next % self.machines.len()];
         self.next += 1;
         let to = platform.control(machine);
         let head = format!(
@@ -111,7 +122,7 @@
         };
         record.line(&format!("PUT /v1/config to machine {machine}: {answer}"));
         // The pause grows with each full round.
-        if machine == MACHINES - 1 {
+        if self.next.is_multiple_of(self.machines.len()) {
             self.pause = (self.pause * 2).clamp(Duration::from_millis(100), Duration::from_secs(1));
         }
         self.send_at = Instant::now() + self.pause;
--- a/review/stand-ins/platform.rs
+++ b/review/stand-ins/platform.rs
@@ -12,6 +12,10 @@
 const INTERNAL: (u16, u16) = (7700, 7715);
 /// Machines of the deployment, one in each zone, all with a disk that counts. One may be lost at once.
 pub const MACHINES: usize = 3;
+/// Addresses of machines: those of the start, and one for a machine that replaces another.
+const ADDRESSES: usize = MACHINES + 1;
+/// The number of the machine that replaces machine 0.
+pub const REPLACEMENT: usize = MACHINES;
 /// Time between the heartbeats of a server, in milliseconds (`beatEveryMs`).
 pub const BEAT_EVERY_MS: u64 = 1000;
 
@@ -66,7 +70,7 @@
         let blocks = (0..200).map(|step| (first + step * 7) % 40_000);
         let prefixes = blocks.map(|block| format!("127.{}.{}", 20 + block / 250, block % 250));
         let free = |prefix: &String| {
-            (1..=MACHINES).all(|machine| {
+            (1..=ADDRESSES).all(|machine| {
                 let is_free = |port| TcpListener::bind(format!("{prefix}.{machine}:{port}")).is_ok();
                 [FRONT, READINESS, CONTROL, INTERNAL.0].into_iter().all(is_free)
             })
@@ -110,13 +114,14 @@
 
     fn settings(&self, machine: usize, first_boot: bool) -> String {
         let seeds: Vec<String> =
-            (0..MACHINES).map(|seed| format!("\"{}\"", self.address(seed, CONTROL))).collect();
+            seeds_of(machine).map(|seed| format!("\"{}\"", self.address(seed, CONTROL))).collect();
         let (seeds, folder, number) = (seeds.join(", "), self.folder.display(), machine + 1);
         let ip = format!("{}.{number}", self.prefix);
+        let zone = machine % MACHINES + 1;
         let (first, last) = INTERNAL;
         format!(
             "nodeName = \"edge-{number}\"\nrole = \"node\"\nmachineClass = \"edge\"\nserves = [\"edge\", \"control\"]\n\
-             ip = \"{ip}\"\nzone = \"hall-{number}\"\nregion = \"here\"\ninternalPorts = [{first}, {last}]\n\
+             ip = \"{ip}\"\nzone = \"hall-{zone}\"\nregion = \"here\"\ninternalPorts = [{first}, {last}]\n\
              seedNodes = [{seeds}]\nfirstBoot = {first_boot}\nlossCounts = true\ndataPath = \"{folder}/data-{number}\"\n\
              discovery = \"self_register\"\nentryPoint = \"virtual_ip\"\nbeatEveryMs = {BEAT_EVERY_MS}\n\
              guarantees = [\"base\", \"drain\", \"config\", \"cost\", \"retry\", \"recover\", \"kvcache\", \"stream\", \"engine\", \"tenants\"]\n\
@@ -132,6 +137,11 @@
     }
 }
 
+/// The three machines in the operator's list when the settings of a machine are written.
+fn seeds_of(machine: usize) -> std::ops::Range<usize> {
+    if machine == REPLACEMENT { 1..ADDRESSES } else { 0..MACHINES }
+}
+
 fn parse(address: &str) -> SocketAddr {
     address.parse().unwrap_or_else(|_| unreachable!("{address} is an address"))
 }
