Treat a stream without a length that ends within an event as truncated

Cause: the kernel closes the connections of a killed process in order, and the end of the connection is the end of a body without a length. `ResponseForwarding::run` took that for the end of the stream too, and forwarded what `EventSplitter` held back of the incomplete event, with the last chunk behind it. The splitter knew that an event was open; nobody asked it.

Change: where the end of the connection is the only sign of the end, a stream of events that ends within an event is truncated, like one whose connection is reset: it is resumed after its last complete event, or the client sees a reset. A body that its length or its last chunk ends is forwarded whole as before, and so is a response whose `Content-Type` names another media type. Events whose lines end with a carriage return alone are not split, but their empty line is recognized at the end.

The new tests cut such a stream behind each byte. Before the fix three of them failed, at the first cut: "i" as a complete body, one server asked instead of two, and for HTTP/1.0 `Closed` in place of `Reset` after "id: 3\ndata: tok". Now: tests of the package pass.

Why it works: of the ways in which a body without a length can end in order, only those at the end of an event can be the server's own; there is no half event in a whole stream.

--- a/dataplane/src/event_splitter.rs
+++ b/dataplane/src/event_splitter.rs
@@ -62,6 +62,15 @@
         }
     }
 
+    /// True if bytes of an incomplete event are pending: a stream that ends here is truncated.
+    ///
+    /// Empty lines are no event. Events whose lines end with a carriage return alone are not split, but such a stream ends with
+    /// an empty line too.
+    pub fn is_within_event(&self) -> bool {
+        let is_blank = self.pending.iter().all(|byte| matches!(byte, b'\r' | b'\n'));
+        !is_blank && !self.pending.ends_with(b"\r\r")
+    }
+
     /// Takes the bytes after the last complete event. They are forwarded at the end of a stream that was not truncated.
     pub fn take_remainder(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.pending)
--- a/dataplane/src/response_forwarding.rs
+++ b/dataplane/src/response_forwarding.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use gradepaddle_http::buffers::Chain;
-use gradepaddle_http::{Connection, Framing, chunk_frame, push_end_to_end_fields, push_framing_field};
+use gradepaddle_http::{
+    Connection, Framing, ReadError, chunk_frame, push_end_to_end_fields, push_framing_field,
+};
 use gradepaddle_placement::{AttemptOutcome, OutdatedStart, Placement, StreamPause};
 use slog::warn;
 use tokio::time::{Instant, sleep_until};
@@ -33,6 +35,17 @@
     ClientGone,
 }
 
+/// How far the body of a server's response has been received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyProgress {
+    /// More is to come.
+    Incomplete,
+    /// Nothing more will come, and the body has not ended.
+    Truncated,
+    /// The body has ended.
+    Complete,
+}
+
 /// A response that is being forwarded.
 ///
 /// If it is dropped before the response has ended, the attempt is reported to the placer as ended by the client.
@@ -151,25 +164,51 @@
                 }
             };
             // What was received before the connection was lost is still forwarded: a stream is resumed after it.
-            let last = matches!(read, Ok(true));
-            let out = self.complete_part(bytes, last);
+            let mut out = self.complete_part(bytes);
+            let progress = self.progress(&read);
+            let last = progress == BodyProgress::Complete;
+            if last {
+                self.append_remainder(&mut out);
+            }
             if (last || !out.is_empty())
                 && let Err(outcome) = self.write_body(client, &out, last).await
             {
                 return self.abort(outcome, AttemptOutcome::ClientGone);
             }
-            if read.is_err() {
-                return self.abort(ForwardingOutcome::Interrupted, AttemptOutcome::ConnectionBroken);
-            }
-            if last {
-                self.end_attempt(AttemptOutcome::Served);
-                self.report_longest_gap();
-                self.release_connection();
-                return ForwardingOutcome::Complete;
+            match progress {
+                BodyProgress::Incomplete => {}
+                BodyProgress::Truncated => {
+                    return self.abort(ForwardingOutcome::Interrupted, AttemptOutcome::ConnectionBroken);
+                }
+                BodyProgress::Complete => {
+                    self.end_attempt(AttemptOutcome::Served);
+                    self.report_longest_gap();
+                    self.release_connection();
+                    return ForwardingOutcome::Complete;
+                }
             }
         }
     }
 
+    /// How far the body has been received after this read, whose bytes have been passed to [`Self::complete_part`].
+    ///
+    /// The end of the connection is not always the end of a body without a length: the connections of a process that
+    /// crashes are closed in order too. A stream that ends within an event is truncated.
+    fn progress(&self, read: &Result<bool, ReadError>) -> BodyProgress {
+        match read {
+            Ok(false) => BodyProgress::Incomplete,
+            Ok(true) if self.is_closed_within_event() => BodyProgress::Truncated,
+            Ok(true) => BodyProgress::Complete,
+            Err(_) => BodyProgress::Truncated,
+        }
+    }
+
+    /// True if the end of the connection is the only sign that a stream of events has ended, and an event is incomplete.
+    fn is_closed_within_event(&self) -> bool {
+        let (Some(upstream), Some(events)) = (&self.upstream, &self.events) else { return false };
+        upstream.framing == Framing::UntilClose && upstream.may_hold_events() && events.is_within_event()
+    }
+
     /// The head that is sent to the client. Decides how the body is framed.
     fn client_head(&mut self) -> Chain {
         let mut out = self.plane.pool.chain();
@@ -196,8 +235,7 @@
     }
 
     /// What can be forwarded now of these bytes and those still buffered: all of them, or the complete events of a stream.
-    /// `last`: the response ends with these bytes.
-    fn complete_part(&mut self, bytes: Chain, last: bool) -> Chain {
+    fn complete_part(&mut self, bytes: Chain) -> Chain {
         if !self.started && !bytes.is_empty() {
             self.started = true;
             self.report_first_bytes();
@@ -205,9 +243,6 @@
         let Some(events) = &mut self.events else { return bytes };
         let mut complete = Vec::new();
         bytes.slices().for_each(|slice| events.push(slice, &mut complete));
-        if last {
-            complete.extend_from_slice(&events.take_remainder());
-        }
         if let (Some(version), Some(model)) = (events.take_version(), &self.routed.model) {
             let now = self.plane.now();
             self.plane.placer.borrow_mut().observe_version(now, &self.placement.server, model, version);
@@ -220,6 +255,13 @@
         out
     }
 
+    /// Appends what follows the last complete event of a stream that has ended.
+    fn append_remainder(&mut self, out: &mut Chain) {
+        if let Some(events) = &mut self.events {
+            out.push(&events.take_remainder());
+        }
+    }
+
     /// Reports to the placer that the server has begun to respond, and on which model version.
     fn report_first_bytes(&self) {
         let (now, attempt) = (self.plane.now(), self.placement.attempt);
--- a/dataplane/src/upstream_response.rs
+++ b/dataplane/src/upstream_response.rs
@@ -17,6 +17,9 @@
 /// Maximum number of heads read for one final response, of which all but the last may be interim (1xx) ones.
 const MAX_HEADS_READ: usize = 16;
 
+/// The media type of server-sent events (WHATWG HTML, section 9.2.5).
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Why an attempt yielded no response. The request may have been processed in either case.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ExchangeError {
@@ -66,6 +69,13 @@
         Some(ServerLoadReport { running: next()?, waiting: next()?, slots: next()? })
     }
 
+    /// True unless its `Content-Type` names another media type than that of server-sent events. A server may omit the field.
+    pub fn may_hold_events(&self) -> bool {
+        let Some(content_type) = self.head.get("content-type") else { return true };
+        let media_type = content_type.split(';').next().unwrap_or_default().trim();
+        media_type.eq_ignore_ascii_case(EVENT_STREAM)
+    }
+
     /// The model version that generates the response (`Versions`).
     pub fn version(&self) -> Option<u64> {
         let text = self.head.get("versions")?;
--- a/dataplane/tests/event_splitter.rs
+++ b/dataplane/tests/event_splitter.rs
@@ -131,4 +131,23 @@
         prop_assert_eq!(complete, event.text.into_bytes());
         prop_assert_eq!(splitter.take_remainder(), Vec::<u8>::new());
     }
+
+    /// Guards against a stream that breaks off within an event and passes for a whole one.
+    #[test]
+    fn a_stream_is_within_an_event_unless_it_ends_behind_an_empty_line(
+        lines in vec(vec("(data|event|: |x-id): ?[a-z :0-9é]{0,8}", 1..4), 1..4),
+        line_end in prop_oneof![Just("\n"), Just("\r\n"), Just("\r")],
+        sizes in vec(1..6_usize, 1..10),
+    ) {
+        let (mut text, mut ends) = (String::new(), vec![0]);
+        for event in &lines {
+            text += &(event.join(line_end) + line_end + line_end);
+            ends.push(text.len());
+        }
+        for cut in 0..=text.len() {
+            let (mut splitter, mut complete) = (EventSplitter::default(), Vec::new());
+            pieces(&text.as_bytes()[..cut], &sizes).iter().for_each(|piece| splitter.push(piece, &mut complete));
+            prop_assert_eq!(splitter.is_within_event(), !ends.contains(&cut), "{:?}", &text.as_bytes()[..cut]);
+        }
+    }
 }
--- a/dataplane/tests/streams.rs
+++ b/dataplane/tests/streams.rs
@@ -318,6 +318,147 @@
     });
 }
 
+/// A script that sends a stream without a length, and closes its connection in order once the gate is opened.
+fn closed_stream(content_type: &'static str, text: &[u8], gate: &Gate) -> Script {
+    let text = text.to_owned();
+    let head =
+        move |server_request: &ServerRequest| without_length(server_request, "200 OK", content_type, &text);
+    bytes_then(head, vec![Step::Wait(gate.clone()), Step::Close])
+}
+
+/// The `Content-Type` fields of a stream of events: a server may omit it.
+const STREAM_CONTENT_TYPES: [&str; 3] =
+    ["", "Content-Type: text/event-stream\r\n", "content-type: Text/Event-Stream; charset=utf-8\r\n"];
+
+/// Three events with these line ends, and the offsets at which one of them is complete.
+fn three_plain_events(line_end: &str) -> (Vec<u8>, Vec<usize>) {
+    let (mut text, mut ends) = (String::new(), Vec::new());
+    for id in 1..=3 {
+        text += &event(id).replace('\n', line_end);
+        ends.push(text.len());
+    }
+    (text.into_bytes(), ends)
+}
+
+/// A crashed server's connections are closed in order. The end of the connection passed for the end of a stream without a
+/// length, so that clients got half an event as the end of a complete response.
+#[gtest]
+fn a_stream_without_a_length_that_ends_within_an_event_is_resumed() {
+    run(async {
+        for line_end in ["\n", "\r\n"] {
+            let (text, ends) = three_plain_events(line_end);
+            for cut in (1..text.len()).filter(|cut| !ends.contains(cut)) {
+                let complete_events = ends.iter().filter(|end| **end < cut).count();
+                let gate = Gate::default();
+                let content_type = STREAM_CONTENT_TYPES[cut % STREAM_CONTENT_TYPES.len()];
+                let first = closed_stream(content_type, &text[..cut], &gate);
+                let harness = Harness::new(vec![first, resumed_until(5)]).await;
+                let mut client = harness.client().await;
+                client.send(&ClientRequest::post("/resume/x").bytes()).await;
+                client.wait_for("\r\n\r\n").await;
+                gate.open();
+                let response = client.response().await;
+                expect_that!(response.body_end, eq(BodyEnd::Complete), "after {cut} bytes");
+                // The line ends of the two servers' events may differ.
+                expect_that!(response.text().replace("\r\n", "\n"), eq(&events(1..=5)), "after {cut} bytes");
+                let server_requests = harness.all_server_requests().await;
+                assert_that!(server_requests.len(), eq(2), "after {cut} bytes");
+                expect_that!(response.field("X-Server-Seal"), some(eq(&*seal(&server_requests[0]))));
+                let last_event_id = server_requests[1].field("Last-Event-Id").unwrap_or("0").to_owned();
+                expect_that!(last_event_id, eq(&complete_events.to_string()), "after {cut} bytes");
+                expect_that!(harness.plane.placer.borrow().in_flight(), eq(0));
+            }
+        }
+    });
+}
+
+/// As above, where the route doesn't allow another attempt: half an event and the last chunk made the response look complete.
+#[gtest]
+fn a_stream_without_a_length_that_ends_within_an_event_is_visibly_truncated() {
+    run(async {
+        for line_end in ["\n", "\r\n"] {
+            let (text, ends) = three_plain_events(line_end);
+            for cut in (1..text.len()).filter(|cut| !ends.contains(cut)) {
+                let complete_events = ends.iter().filter(|end| **end < cut).count() as u64;
+                let gate = Gate::default();
+                let content_type = STREAM_CONTENT_TYPES[cut % STREAM_CONTENT_TYPES.len()];
+                let harness = Harness::new(vec![closed_stream(content_type, &text[..cut], &gate)]).await;
+                let mut client = harness.client().await;
+                client.send(&ClientRequest::post("/stream/x").bytes()).await;
+                client.wait_for("\r\n\r\n").await;
+                gate.open();
+                let response = client.response().await;
+                expect_true!(response.is_truncated(), "after {cut} bytes");
+                expect_that!(response.text().replace("\r\n", "\n"), eq(&events(1..=complete_events)));
+                expect_that!(client.end().await.1, is_empty(), "after {cut} bytes");
+                expect_that!(harness.servers_reached().await.len(), eq(1));
+                expect_that!(harness.plane.counters.responses.get(), eq(0), "after {cut} bytes");
+                expect_that!(harness.plane.placer.borrow().in_flight(), eq(0));
+            }
+        }
+    });
+}
+
+/// A response to an HTTP/1.0 client ends with its connection: a close in order made a stream that had broken off within an event
+/// look complete.
+#[gtest]
+fn an_http_1_0_client_sees_a_reset_where_a_stream_without_a_length_ends_within_an_event() {
+    run(async {
+        for (text, expected_end) in
+            [(events(1..=2) + "id: 3\ndata: tok", BodyEnd::Reset), (events(1..=3), BodyEnd::Closed)]
+        {
+            let gate = Gate::default();
+            let harness = Harness::new(vec![closed_stream("", text.as_bytes(), &gate)]).await;
+            let mut client = harness.client().await;
+            client.send(b"POST /stream/x HTTP/1.0\r\nHost: one.example\r\nX-Request-Id: old\r\n\r\n").await;
+            client.wait_for(&event(2)).await;
+            gate.open();
+            let (body_end, received) = client.end().await;
+            expect_that!(body_end, eq(expected_end), "{text:?}");
+            expect_that!(String::from_utf8_lossy(&received).into_owned(), not(ends_with("tok")), "{text:?}");
+        }
+    });
+}
+
+#[gtest]
+fn a_stream_without_a_length_that_ends_after_an_event_is_complete() {
+    run(async {
+        // Lines end with LF, CRLF or CR, and further empty lines are no event.
+        for text in [
+            events(1..=3),
+            events(1..=3).replace('\n', "\r\n"),
+            events(1..=3).replace('\n', "\r"),
+            events(1..=3) + "\n",
+            events(1..=3) + "\r\n\r\n\n",
+            ": a comment only\n\n".to_owned(),
+        ] {
+            for target in ["/stream/x", "/resume/x"] {
+                let gate = Gate::default();
+                gate.open();
+                let harness = Harness::new(vec![closed_stream("", text.as_bytes(), &gate)]).await;
+                let response = harness.request(&ClientRequest::post(target)).await;
+                expect_that!((response.body_end, &*response.text()), eq((BodyEnd::Complete, &*text)));
+                expect_that!(harness.servers_reached().await.len(), eq(1), "{target} {text:?}");
+            }
+        }
+    });
+}
+
+#[gtest]
+fn a_response_without_a_length_that_is_no_stream_of_events_ends_with_its_connection() {
+    run(async {
+        for target in ["/stream/x", "/resume/x"] {
+            let gate = Gate::default();
+            gate.open();
+            let script = closed_stream("Content-Type: application/json\r\n", b"{\"text\":\"all\"}", &gate);
+            let harness = Harness::new(vec![script]).await;
+            let response = harness.request(&ClientRequest::post(target)).await;
+            expect_that!(response.body_end, eq(BodyEnd::Complete), "{target}");
+            expect_that!(response.text(), eq("{\"text\":\"all\"}"));
+        }
+    });
+}
+
 #[gtest]
 fn a_stream_beyond_the_retry_budget_is_visibly_truncated() {
     run(async {
