Treat a stream without a length that ends before a due event as truncated

What callers saw: where a server crashed between the head of a stream without a length and its first event, a client got 200 with an empty and complete body. Where a stream had been interrupted within an event and the next server crashed before that event, the response was complete without it.

Both streams end at an event boundary, so the incomplete event doesn't show it; but an event was known to follow: each stream has a first event, and one that has begun is repeated whole.

Change: `EventSplitter::may_end` tells whether an event is incomplete or due; `discard_partial` makes the discarded one due. After `Last-Event-Id`, or after a reset between two events, an empty rest stays complete: the client may have the last event already.

Evidence: `a_stream_without_a_length_that_ends_before_its_first_event_is_incomplete` and `a_resumed_stream_without_a_length_does_not_end_before_the_event_that_was_interrupted` failed before (empty body, complete, one server asked in place of two), and pass. `a_stream_resumed_after_its_last_event_may_be_empty` passed before and after.

--- a/dataplane/src/event_splitter.rs
+++ b/dataplane/src/event_splitter.rs
@@ -18,6 +18,8 @@
     last_id: Option<u64>,
     /// Whether the last complete event had no id.
     last_without_id: bool,
+    /// Whether another event is known to follow: the first one, or one of which only the beginning was received.
+    awaits_event: bool,
     /// The last model version named since the last [`EventSplitter::take_version`].
     version: Option<u64>,
 }
@@ -25,7 +27,7 @@
 impl EventSplitter {
     /// Creates a splitter for a stream that starts after the event with this id, if there is one.
     pub fn after(last_id: Option<u64>) -> Self {
-        EventSplitter { last_id, ..EventSplitter::default() }
+        EventSplitter { last_id, awaits_event: last_id.is_none(), ..EventSplitter::default() }
     }
 
     /// The id of the last complete event that had one.
@@ -62,13 +64,20 @@
         }
     }
 
-    /// True if bytes of an incomplete event are pending: a stream that ends here is truncated.
-    ///
-    /// Empty lines are no event. Events whose lines end with a carriage return alone are not split, but such a stream ends with
-    /// an empty line too.
+    /// True if the stream may end here: no event is incomplete, and none is known to follow. A stream that ends elsewhere is
+    /// truncated.
+    pub fn may_end(&self) -> bool {
+        !self.is_within_event() && (!self.awaits_event || self.ends_unsplit())
+    }
+
+    /// True if bytes of an incomplete event are pending. Empty lines are no event.
     pub fn is_within_event(&self) -> bool {
-        let is_blank = self.pending.iter().all(|byte| matches!(byte, b'\r' | b'\n'));
-        !is_blank && !self.pending.ends_with(b"\r\r")
+        !is_blank(&self.pending) && !self.ends_unsplit()
+    }
+
+    /// True if the pending bytes are complete events whose lines end with a carriage return alone. Such events are not split.
+    fn ends_unsplit(&self) -> bool {
+        !is_blank(&self.pending) && self.pending.ends_with(b"\r\r")
     }
 
     /// Takes the bytes after the last complete event. They are forwarded at the end of a stream that was not truncated.
@@ -76,13 +85,15 @@
         std::mem::take(&mut self.pending)
     }
 
-    /// Discards the beginning of an event that will not be completed.
+    /// Discards the beginning of an event that will not be completed. The stream goes on with the whole event.
     pub fn discard_partial(&mut self) {
+        self.awaits_event |= self.is_within_event();
         self.pending.clear();
     }
 
     /// Reads the id and the model version of a complete event.
     fn parse_event(&mut self, event: std::ops::Range<usize>) {
+        self.awaits_event &= is_blank(&self.pending[event.clone()]);
         let (mut id, mut has_data) = (None, false);
         for line in self.pending[event].split(|byte| *byte == b'\n') {
             if let Some(value) = line.strip_prefix(ID) {
@@ -104,6 +115,11 @@
     std::str::from_utf8(value.trim_ascii()).ok()?.parse().ok()
 }
 
+/// True for empty lines alone.
+fn is_blank(bytes: &[u8]) -> bool {
+    bytes.iter().all(|byte| matches!(byte, b'\r' | b'\n'))
+}
+
 /// Where the event that has begun before `from` ends: after an empty line.
 fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
     let mut at = from;
--- a/dataplane/src/response_forwarding.rs
+++ b/dataplane/src/response_forwarding.rs
@@ -193,20 +193,20 @@
     /// How far the body has been received after this read, whose bytes have been passed to [`Self::complete_part`].
     ///
     /// The end of the connection is not always the end of a body without a length: the connections of a process that
-    /// crashes are closed in order too. A stream that ends within an event is truncated.
+    /// crashes are closed in order too. A stream that ends within an event, or before one that is known to follow, is truncated.
     fn progress(&self, read: &Result<bool, ReadError>) -> BodyProgress {
         match read {
             Ok(false) => BodyProgress::Incomplete,
-            Ok(true) if self.is_closed_within_event() => BodyProgress::Truncated,
+            Ok(true) if self.is_closed_early() => BodyProgress::Truncated,
             Ok(true) => BodyProgress::Complete,
             Err(_) => BodyProgress::Truncated,
         }
     }
 
-    /// True if the end of the connection is the only sign that a stream of events has ended, and an event is incomplete.
-    fn is_closed_within_event(&self) -> bool {
+    /// True if the end of the connection is the only sign that a stream of events has ended, and an event is missing.
+    fn is_closed_early(&self) -> bool {
         let (Some(upstream), Some(events)) = (&self.upstream, &self.events) else { return false };
-        upstream.framing == Framing::UntilClose && upstream.may_hold_events() && events.is_within_event()
+        upstream.framing == Framing::UntilClose && upstream.may_hold_events() && !events.may_end()
     }
 
     /// The head that is sent to the client. Decides how the body is framed.
--- a/dataplane/tests/streams.rs
+++ b/dataplane/tests/streams.rs
@@ -326,6 +326,13 @@
     bytes_then(head, vec![Step::Wait(gate.clone()), Step::Close])
 }
 
+/// A gate that the next wait finds open.
+fn opened_gate() -> Gate {
+    let gate = Gate::default();
+    gate.open();
+    gate
+}
+
 /// The `Content-Type` fields of a stream of events: a server may omit it.
 const STREAM_CONTENT_TYPES: [&str; 3] =
     ["", "Content-Type: text/event-stream\r\n", "content-type: Text/Event-Stream; charset=utf-8\r\n"];
@@ -420,6 +427,63 @@
     });
 }
 
+/// A server that crashed between the head of a stream without a length and its first event made an empty response look complete.
+#[gtest]
+fn a_stream_without_a_length_that_ends_before_its_first_event_is_incomplete() {
+    run(async {
+        for empty in ["", "\r\n", "\n\n"] {
+            for (target, is_resumed) in [("/resume/x", true), ("/stream/x", false)] {
+                let gate = Gate::default();
+                let first = closed_stream("", empty.as_bytes(), &gate);
+                let harness = Harness::new(vec![first, resumed_until(3)]).await;
+                let mut client = harness.client().await;
+                client.send(&ClientRequest::post(target).bytes()).await;
+                client.wait_for("\r\n\r\n").await;
+                gate.open();
+                let response = client.response().await;
+                expect_that!(response.is_truncated(), eq(!is_resumed), "{target} {empty:?}");
+                let expected = if is_resumed { events(1..=3) } else { String::new() };
+                expect_that!(response.text().trim_start(), eq(&expected), "{target} {empty:?}");
+                let server_requests = harness.all_server_requests().await;
+                expect_that!(server_requests.len(), eq(1 + usize::from(is_resumed)), "{target} {empty:?}");
+            }
+        }
+    });
+}
+
+/// A stream was interrupted within an event, and the next server crashed before it had sent that event: the end of its
+/// connection passed for the end of the stream.
+#[gtest]
+fn a_resumed_stream_without_a_length_does_not_end_before_the_event_that_was_interrupted() {
+    run(async {
+        let interrupted = || broken_stream(&(events(1..=2) + "id: 3\nda"), &opened_gate());
+        let crashed = || closed_stream("", b"", &opened_gate());
+        let harness =
+            Harness::of_servers(&["s1", "s2", "s3"], vec![interrupted(), crashed(), resumed_until(4)]).await;
+        let response = harness.request(&ClientRequest::post("/resume-often/x")).await;
+        expect_that!((response.body_end, &*response.text()), eq((BodyEnd::Complete, &*events(1..=4))));
+        let harness = Harness::new(vec![interrupted(), crashed()]).await;
+        let response = harness.request(&ClientRequest::post("/resume/x")).await;
+        expect_true!(response.is_truncated());
+        expect_that!(response.text(), eq(&events(1..=2)));
+    });
+}
+
+#[gtest]
+fn a_stream_resumed_after_its_last_event_may_be_empty() {
+    run(async {
+        // The client has the last event already.
+        let harness = Harness::new(vec![closed_stream("", b"", &opened_gate())]).await;
+        let response = harness.request(&ClientRequest::post("/resume/x").field("Last-Event-Id", "9")).await;
+        expect_that!((response.body_end, &*response.text()), eq((BodyEnd::Complete, "")));
+        // The first server's connection is reset between its last event and its last chunk.
+        let interrupted = broken_stream(&events(1..=3), &opened_gate());
+        let harness = Harness::new(vec![interrupted, closed_stream("", b"", &opened_gate())]).await;
+        let response = harness.request(&ClientRequest::post("/resume/x")).await;
+        expect_that!((response.body_end, &*response.text()), eq((BodyEnd::Complete, &*events(1..=3))));
+    });
+}
+
 #[gtest]
 fn a_stream_without_a_length_that_ends_after_an_event_is_complete() {
     run(async {
@@ -433,9 +497,8 @@
             ": a comment only\n\n".to_owned(),
         ] {
             for target in ["/stream/x", "/resume/x"] {
-                let gate = Gate::default();
-                gate.open();
-                let harness = Harness::new(vec![closed_stream("", text.as_bytes(), &gate)]).await;
+                let script = closed_stream("", text.as_bytes(), &opened_gate());
+                let harness = Harness::new(vec![script]).await;
                 let response = harness.request(&ClientRequest::post(target)).await;
                 expect_that!((response.body_end, &*response.text()), eq((BodyEnd::Complete, &*text)));
                 expect_that!(harness.servers_reached().await.len(), eq(1), "{target} {text:?}");
@@ -448,9 +511,8 @@
 fn a_response_without_a_length_that_is_no_stream_of_events_ends_with_its_connection() {
     run(async {
         for target in ["/stream/x", "/resume/x"] {
-            let gate = Gate::default();
-            gate.open();
-            let script = closed_stream("Content-Type: application/json\r\n", b"{\"text\":\"all\"}", &gate);
+            let content_type = "Content-Type: application/json\r\n";
+            let script = closed_stream(content_type, b"{\"text\":\"all\"}", &opened_gate());
             let harness = Harness::new(vec![script]).await;
             let response = harness.request(&ClientRequest::post(target)).await;
             expect_that!(response.body_end, eq(BodyEnd::Complete), "{target}");
