Cross framings, ends and clients in the adversary test of the data plane

Change: a truncated response has each framing (length, chunks, until close) with each end (closed in order, reset, silent), behind any byte or just between two events. A quarter of the requests are of HTTP/1.0 clients. The model says from RFC 9112, section 8, what may look complete: behind a close in order of a body without a length any part of a plain body, but of a stream whole events only, and not before the first event or one that had begun. The 36 combinations of framing, end, kind of response and version have to be drawn, and streams that reach three servers. The check of complete bodies is as strict as before for every other response.

--- a/dataplane/tests/adversary/client.rs
+++ b/dataplane/tests/adversary/client.rs
@@ -63,12 +63,17 @@
             90..=94 => Behavior::DisconnectsAtHead,
             _ => Behavior::Closes,
         };
-        let mut request = self.request(random);
+        let mut request = self.request(random, true);
         if matches!(behavior, Behavior::Closes) {
             request.sent = request.sent.field("Connection", "close");
         }
         let bytes = request.sent.bytes();
         match behavior {
+            // HTTP/1.0 has no pipelining.
+            Behavior::Pipelines if request.sent.http_1_0 => {
+                client.send(&bytes).await;
+                self.read(&mut client, &request, true).await.then_some(client)
+            }
             Behavior::Reads => {
                 client.send(&bytes).await;
                 self.read(&mut client, &request, true).await.then_some(client)
@@ -79,7 +84,7 @@
                 None
             }
             Behavior::Pipelines => {
-                let next = self.request(random);
+                let next = self.request(random, false);
                 client.send(&[bytes, next.sent.bytes()].concat()).await;
                 let complete = self.read(&mut client, &request, true).await;
                 (complete && self.read(&mut client, &next, true).await).then_some(client)
@@ -109,24 +114,32 @@
         }
     }
 
-    fn request(&self, random: &mut Random) -> TrackedRequest {
+    fn request(&self, random: &mut Random, may_be_http_1_0: bool) -> TrackedRequest {
         let kind = random.one_of(&ROUTE_KINDS);
         let deadline_ms = random.one_of(&[100, 200, 500]);
         let length = random.one_of(&[0, 30, 30, 30, 30, 30, 5_000, 5_000, 20_000, 290_000]);
         let sent = ClientRequest::post(kind.target).field("X-Deadline-Ms", &deadline_ms.to_string());
         let body = bytes_of(&sent.id, length);
-        let sent = if random.percent(20) { sent.in_chunks(&[3000, 17]) } else { sent };
-        self.history.record_request(&sent.id, kind, deadline_ms);
+        let sent = match random.below(100) {
+            0..=19 => sent.in_chunks(&[3000, 17]),
+            20..=44 if may_be_http_1_0 => sent.http_1_0(),
+            _ => sent,
+        };
+        self.history.record_request(&sent.id, kind, deadline_ms, sent.http_1_0);
         TrackedRequest { sent: sent.body(&body), kind }
     }
 
     /// Reads a response and checks it. True if the connection can be reused.
     async fn read(&self, client: &mut Client, request: &TrackedRequest, due: bool) -> bool {
-        match client.response_or_end().await {
+        let response = match request.sent.http_1_0 {
+            true => client.http_1_0_response_or_end().await,
+            false => client.response_or_end().await,
+        };
+        match response {
             Ok(response) => {
                 self.check(request, &response);
                 let closes = response.field("Connection").is_some_and(|value| value == "close");
-                response.body_end == BodyEnd::Complete && !closes
+                response.body_end == BodyEnd::Complete && !closes && !request.sent.http_1_0
             }
             Err(body_end) => {
                 if due {
@@ -173,7 +186,13 @@
             return;
         }
         let expected = response_body(request.kind, &request.sent.id, server, 0);
-        let matches = if complete { response.body == expected } else { expected.starts_with(&response.body) };
+        let matches = match complete {
+            true => {
+                response.body == expected
+                    || self.history.may_look_complete(&request.sent.id, server, &response.body)
+            }
+            false => expected.starts_with(&response.body),
+        };
         if !matches {
             let (id, got, wanted) = (&request.sent.id, response.body.len(), expected.len());
             self.history.violation(format!(
--- a/dataplane/tests/adversary/history.rs
+++ b/dataplane/tests/adversary/history.rs
@@ -1,11 +1,13 @@
 //! The history of a run: what clients sent and received, what servers received and processed; and a checker of the rules.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::server::{Shape, TruncatedEnd};
+
 /// From this long after a client has disconnected, no server may receive its request, and servers must have been
 /// stopped if the request is idempotent or a stream.
 const DISCONNECT_GRACE: Duration = Duration::from_millis(500);
@@ -42,12 +44,27 @@
     pub status: Option<u16>,
     /// When its connection ended, for a server that works on the request until then.
     pub stopped: Option<Instant>,
+    /// The body that the client may take for a complete one: its server closed the connection in order, and nothing shows that
+    /// bytes are missing.
+    pub unnoticeable_end: Option<Vec<u8>>,
+    /// The event within which the server closed the connection in order.
+    pub incomplete_event: Option<u64>,
+}
+
+/// A way in which servers truncate responses, for one kind of client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Truncation {
+    pub framing: Shape,
+    pub end: TruncatedEnd,
+    pub streaming: bool,
+    pub http_1_0: bool,
 }
 
 /// One request.
 #[derive(Debug)]
 struct Record {
     kind: RouteKind,
+    http_1_0: bool,
     /// The deadline that the client sent, and later the one that the latest server received.
     time_left_ms: u64,
     /// When its client disconnected without the complete response.
@@ -68,6 +85,8 @@
     pub client_left: u64,
     pub deliveries: u64,
     pub retries: u64,
+    /// Streams that were sent to three servers.
+    pub resumed_twice: u64,
 }
 
 /// The history of the run of one seed.
@@ -76,6 +95,7 @@
     records: RefCell<BTreeMap<String, Record>>,
     violations: RefCell<Vec<String>>,
     counts: RefCell<Counts>,
+    truncations: RefCell<BTreeSet<Truncation>>,
     longest_stall: Cell<Duration>,
 }
 
@@ -87,10 +107,11 @@
     }
 
     /// Records that a client is about to send a request.
-    pub fn record_request(&self, id: &str, kind: RouteKind, deadline_ms: u64) {
+    pub fn record_request(&self, id: &str, kind: RouteKind, deadline_ms: u64, http_1_0: bool) {
         self.counts.borrow_mut().exchanges += 1;
         let record = Record {
             kind,
+            http_1_0,
             time_left_ms: deadline_ms,
             client_left: None,
             answered_not_processed: false,
@@ -147,6 +168,8 @@
             ran: false,
             status: None,
             stopped: None,
+            unnoticeable_end: None,
+            incomplete_event: None,
         };
         record.deliveries.push(delivery);
         Some(record.deliveries.len() - 1)
@@ -158,6 +181,49 @@
         }
     }
 
+    /// Records that a server truncates its response to this request.
+    pub fn record_truncation(&self, id: &str, framing: Shape, end: TruncatedEnd) {
+        let Some((streaming, http_1_0)) =
+            self.records.borrow().get(id).map(|record| (record.kind.streaming, record.http_1_0))
+        else {
+            return;
+        };
+        self.truncations.borrow_mut().insert(Truncation { framing, end, streaming, http_1_0 });
+    }
+
+    /// The ways in which responses were truncated.
+    pub fn truncations(&self) -> BTreeSet<Truncation> {
+        self.truncations.borrow().clone()
+    }
+
+    /// Records that a server closes its connection in order after a part of the body, and that this body may look complete.
+    pub fn record_unnoticeable_end(&self, id: &str, delivery: usize, body: Vec<u8>) {
+        self.update(id, delivery, |delivery| delivery.unnoticeable_end = Some(body));
+    }
+
+    /// Records that a server closes its connection in order within this event.
+    pub fn record_incomplete_event(&self, id: &str, delivery: usize, event: u64) {
+        self.update(id, delivery, |delivery| delivery.incomplete_event = Some(event));
+    }
+
+    /// True if a server closed its connection in order within this event of the stream.
+    pub fn event_is_incomplete(&self, id: &str, event: u64) -> bool {
+        let records = self.records.borrow();
+        let deliveries = records.get(id).map(|record| &record.deliveries[..]).unwrap_or_default();
+        deliveries.iter().any(|delivery| delivery.incomplete_event == Some(event))
+    }
+
+    /// True if the client may take this body for the complete one, though bytes are missing. Each server has a body of its own,
+    /// but the events of a stream are the same at all.
+    pub fn may_look_complete(&self, id: &str, server: &str, body: &[u8]) -> bool {
+        let records = self.records.borrow();
+        let Some(record) = records.get(id) else { return false };
+        record.deliveries.iter().any(|delivery| {
+            let is_sender = record.kind.streaming || delivery.server == server;
+            is_sender && delivery.unnoticeable_end.as_deref() == Some(body)
+        })
+    }
+
     /// True if this server processed the request and responded with this status.
     pub fn has_responded(&self, id: &str, server: &str, status: u16) -> bool {
         let records = self.records.borrow();
@@ -178,7 +244,10 @@
     fn check(&self, id: &str, record: &Record) {
         let Record { kind, deliveries, .. } = record;
         let runs = deliveries.iter().filter(|delivery| delivery.ran).count();
-        self.count(|counts| counts.retries += deliveries.len().saturating_sub(1) as u64);
+        self.count(|counts| {
+            counts.retries += deliveries.len().saturating_sub(1) as u64;
+            counts.resumed_twice += u64::from(kind.streaming && deliveries.len() > 2);
+        });
         if runs > 1 && !kind.idempotent {
             self.violation(format!("processed more than once: {id} at {}: {deliveries:?}", kind.target));
         }
--- a/dataplane/tests/adversary/main.rs
+++ b/dataplane/tests/adversary/main.rs
@@ -12,6 +12,7 @@
 mod random;
 mod server;
 
+use std::collections::BTreeSet;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,8 +21,8 @@
 use common::configuration::SERVICE;
 use common::{Harness, Options};
 use gradepaddle_placement::ServerState;
-use history::{Counts, History, ROUTE_KINDS};
-use server::Server;
+use history::{Counts, History, ROUTE_KINDS, Truncation};
+use server::{FRAMINGS, Server, TRUNCATED_ENDS};
 use tokio::task::{JoinSet, yield_now};
 use tokio::time::interval;
 
@@ -49,7 +50,7 @@
     }
 }
 
-async fn run_seed(seed: u64) -> (Counts, Vec<String>) {
+async fn run_seed(seed: u64) -> (Rc<History>, Vec<String>) {
     let options = Options { servers: vec![], retry_slack: UNLIMITED_RETRIES, ..Options::default() };
     let harness = Harness::with(options, vec![]).await;
     let history = Rc::new(History::default());
@@ -75,7 +76,7 @@
         history.violation("requests are open though all clients have disconnected".to_owned());
     }
     let violations = history.check_all();
-    (history.counts(), violations)
+    (history, violations)
 }
 
 fn seeds() -> Range<u64> {
@@ -84,12 +85,27 @@
     from.parse().expect("a seed")..to.parse().expect("a seed")
 }
 
+/// Each framing with each end of a truncated response, for streams and other responses and for both versions of HTTP.
+fn all_truncations() -> Vec<Truncation> {
+    let mut all = Vec::new();
+    for framing in FRAMINGS {
+        for end in TRUNCATED_ENDS {
+            for (streaming, http_1_0) in [(false, false), (false, true), (true, false), (true, true)] {
+                all.push(Truncation { framing, end, streaming, http_1_0 });
+            }
+        }
+    }
+    all
+}
+
 #[test]
 fn each_client_gets_its_own_response_and_no_request_runs_more_often_than_allowed() {
     let mut all: Vec<Counts> = Vec::new();
+    let mut truncations: BTreeSet<Truncation> = BTreeSet::new();
     for seed in seeds() {
         common::run(async {
-            let (counts, violations) = run_seed(seed).await;
+            let (history, violations) = run_seed(seed).await;
+            let counts = history.counts();
             let first_violations: Vec<&String> = violations.iter().take(5).collect();
             assert!(
                 violations.is_empty(),
@@ -97,12 +113,13 @@
                 violations.len()
             );
             all.push(counts);
+            truncations.extend(history.truncations());
         });
     }
     let sum = |count: fn(&Counts) -> u64| all.iter().map(count).sum::<u64>();
     println!(
         "{} exchanges: {} complete successes, {} truncated, {} not processed, {} failures, {} clients left; {} deliveries, {} \
-         retries",
+         retries, {} streams at three servers",
         sum(|one| one.exchanges),
         sum(|one| one.successes),
         sum(|one| one.truncated),
@@ -111,8 +128,16 @@
         sum(|one| one.client_left),
         sum(|one| one.deliveries),
         sum(|one| one.retries),
+        sum(|one| one.resumed_twice),
     );
     // A run proves little unless enough requests succeed and enough are retried.
     assert!(sum(|one| one.successes) * 4 > sum(|one| one.exchanges), "too few requests succeed");
     assert!(sum(|one| one.retries) * 50 > sum(|one| one.exchanges), "too few requests are retried");
+    if all.len() < SEEDS.count() {
+        return;
+    }
+    assert!(sum(|one| one.resumed_twice) > 0, "no stream is resumed twice");
+    let missing: Vec<Truncation> =
+        all_truncations().into_iter().filter(|truncation| !truncations.contains(truncation)).collect();
+    assert!(missing.is_empty(), "never drawn: {missing:?}");
 }
--- a/dataplane/tests/adversary/server.rs
+++ b/dataplane/tests/adversary/server.rs
@@ -19,8 +19,8 @@
 const SMALL_BUFFER: u32 = 4096;
 
 /// How the body of a response is framed, or truncated.
-#[derive(Clone, Copy, Debug)]
-enum Shape {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Shape {
     Length,
     Chunks,
     UntilClose,
@@ -28,6 +28,47 @@
     UntilReset,
 }
 
+/// The framings of a response.
+pub const FRAMINGS: [Shape; 3] = [Shape::Length, Shape::Chunks, Shape::UntilClose];
+
+/// What a server does with the connection after a truncated response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum TruncatedEnd {
+    /// Closes it in order, as the kernel does for a process that has crashed.
+    Closes,
+    Resets,
+    /// Keeps it open and sends nothing more.
+    FallsSilent,
+}
+
+/// All ends of a truncated response.
+pub const TRUNCATED_ENDS: [TruncatedEnd; 3] =
+    [TruncatedEnd::Closes, TruncatedEnd::Resets, TruncatedEnd::FallsSilent];
+
+/// Where a response is truncated; the number chooses among all such offsets.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    /// Within the head, a chunk's size line, the body, or an event.
+    BehindAnyByte(u64),
+    /// Behind the head, or behind one of the events.
+    BetweenEvents(u64),
+}
+
+impl Cut {
+    /// The number of bytes of the response that are sent: never all.
+    fn length(self, response: &[u8], body_start: usize) -> usize {
+        match self {
+            Cut::BehindAnyByte(number) => number as usize % response.len(),
+            Cut::BetweenEvents(number) => {
+                let behind_events =
+                    (body_start + 2..response.len()).filter(|end| response[..*end].ends_with(b"\n\n"));
+                let ends: Vec<usize> = std::iter::once(body_start).chain(behind_events).collect();
+                ends[number as usize % ends.len()].min(response.len() - 1)
+            }
+        }
+    }
+}
+
 /// What a server does with the connection after a complete response.
 #[derive(Clone, Copy, Debug)]
 enum AfterResponse {
@@ -65,8 +106,9 @@
     },
     SendsInterimFirst,
     Truncates {
-        shape: Shape,
-        resets: bool,
+        framing: Shape,
+        end: TruncatedEnd,
+        cut: Cut,
     },
     Garbage,
     Resets,
@@ -101,7 +143,14 @@
             Behavior::SendsSurplusFirst { with_id: random.percent(50), then_responds: random.percent(80) }
         }
         79..=81 => Behavior::SendsInterimFirst,
-        82..=90 => Behavior::Truncates { shape, resets: random.percent(50) },
+        82..=90 => Behavior::Truncates {
+            framing: random.one_of(&FRAMINGS),
+            end: random.one_of(&TRUNCATED_ENDS),
+            cut: match random.percent(25) {
+                true => Cut::BetweenEvents(random.next()),
+                false => Cut::BehindAnyByte(random.next()),
+            },
+        },
         91..=92 => Behavior::Garbage,
         93..=95 => Behavior::Resets,
         96..=97 => Behavior::Closes,
@@ -339,16 +388,7 @@
                 let response = self.success(request, Shape::Chunks);
                 self.write(&response).await
             }
-            Behavior::Truncates { shape, resets } => {
-                let response = self.success(request, shape);
-                let length = hash(&["cut", &request.id]) as usize % response.len();
-                self.write(&response[..length]).await?;
-                // If the end of the connection is the end of the response, a plain close would make it look complete.
-                if resets || matches!(shape, Shape::UntilClose | Shape::UntilReset) {
-                    self.reset();
-                }
-                None
-            }
+            Behavior::Truncates { framing, end, cut } => self.truncate(request, framing, end, cut).await,
             Behavior::Garbage => {
                 self.write(b"\x00\x01 this is no answer\r\n\r\n").await?;
                 self.hang_until_closed(request).await
@@ -397,6 +437,58 @@
         }
     }
 
+    /// Sends a part of a response, and then ends the connection or falls silent.
+    async fn truncate(
+        &mut self,
+        request: &ReceivedRequest,
+        framing: Shape,
+        end: TruncatedEnd,
+        cut: Cut,
+    ) -> Option<()> {
+        let response = self.success(request, framing);
+        let body_start = find(&response, b"\r\n\r\n").map_or(response.len(), |end| end + 4);
+        let sent = &response[..cut.length(&response, body_start)];
+        self.server.history.record_truncation(&request.id, framing, end);
+        if let (Shape::UntilClose, TruncatedEnd::Closes, Some(body)) = (framing, end, sent.get(body_start..))
+        {
+            self.record_end_without_length(request, body);
+        }
+        self.write(sent).await?;
+        match end {
+            TruncatedEnd::Closes => None,
+            TruncatedEnd::Resets => {
+                self.reset();
+                None
+            }
+            TruncatedEnd::FallsSilent => self.hang_until_closed(request).await,
+        }
+    }
+
+    /// Records that this part of a body without a length is all that is sent before the connection is closed in order.
+    ///
+    /// RFC 9112, section 8: a response without a length is complete once its connection is closed, so nobody can tell that
+    /// bytes are missing. In a stream of events only the bytes of whole events can be all: an event may not be incomplete,
+    /// and the first one, or one that had begun, may not be missing.
+    fn record_end_without_length(&self, request: &ReceivedRequest, body: &[u8]) {
+        let history = &self.server.history;
+        if !request.kind.streaming {
+            return history.record_unnoticeable_end(&request.id, request.delivery, body.to_vec());
+        }
+        if !body.is_empty() && !body.ends_with(b"\n\n") {
+            let complete_events = body.windows(2).filter(|bytes| bytes == b"\n\n").count() as u64;
+            let event = request.after + complete_events + 1;
+            return history.record_incomplete_event(&request.id, request.delivery, event);
+        }
+        let event_is_due = request.after == 0 || history.event_is_incomplete(&request.id, request.after + 1);
+        if event_is_due && body.is_empty() {
+            return;
+        }
+        let whole = response_body(request.kind, &request.id, &self.server.id, 0);
+        let rest = response_body(request.kind, &request.id, &self.server.id, request.after);
+        let earlier = &whole[..whole.len() - rest.len()];
+        history.record_unnoticeable_end(&request.id, request.delivery, [earlier, body].concat());
+    }
+
     /// Works on the request until the other side closes the connection.
     async fn hang_until_closed(&mut self, request: &ReceivedRequest) -> Option<()> {
         while self.fill().await.is_some() {}
--- a/dataplane/tests/common/client.rs
+++ b/dataplane/tests/common/client.rs
@@ -30,6 +30,8 @@
     pub body: Vec<u8>,
     /// The sizes of its chunks, used in turn; empty for a body with a length.
     pub chunks: Vec<usize>,
+    /// Whether the client speaks HTTP/1.0.
+    pub http_1_0: bool,
 }
 
 impl ClientRequest {
@@ -42,6 +44,7 @@
             fields: vec![("X-Deadline-Ms".to_owned(), "8000".to_owned())],
             body: Vec::new(),
             chunks: Vec::new(),
+            http_1_0: false,
         }
     }
 
@@ -76,6 +79,11 @@
         ClientRequest { chunks: sizes.to_vec(), ..self }
     }
 
+    /// Makes it a request of an HTTP/1.0 client.
+    pub fn http_1_0(self) -> Self {
+        ClientRequest { http_1_0: true, ..self }
+    }
+
     /// Makes it a generation request for the model that the servers have loaded.
     pub fn generation(self) -> Self {
         let request = self.field("X-Model", super::configuration::MODEL).field("X-Token-Count", "900,40");
@@ -84,8 +92,9 @@
 
     pub fn bytes(&self) -> Vec<u8> {
         let ClientRequest { method, target, host, id, .. } = self;
-        let mut out =
-            format!("{method} {target} HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: {id}\r\n").into_bytes();
+        let version = if self.http_1_0 { "1.0" } else { "1.1" };
+        let mut out = format!("{method} {target} HTTP/{version}\r\nHost: {host}\r\nX-Request-Id: {id}\r\n")
+            .into_bytes();
         for (name, value) in &self.fields {
             out.extend(format!("{name}: {value}\r\n").bytes());
         }
@@ -220,17 +229,35 @@
 
     /// Reads the next response, or returns how the connection ended instead.
     pub async fn response_or_end(&mut self) -> Result<Response, BodyEnd> {
-        let head = loop {
+        let mut response = self.read_head().await?;
+        response.body_end = self.read_body(&mut response).await;
+        Ok(response)
+    }
+
+    /// Reads the response to a request of an HTTP/1.0 client, or returns how the connection ended instead. A body without a
+    /// length is complete if the connection is closed, and truncated if it is reset.
+    pub async fn http_1_0_response_or_end(&mut self) -> Result<Response, BodyEnd> {
+        let mut response = self.read_head().await?;
+        assert_eq!(response.field("transfer-encoding"), None, "an HTTP/1.0 client can't decode chunks");
+        if response.field("content-length").is_some() {
+            response.body_end = self.read_body(&mut response).await;
+            return Ok(response);
+        }
+        let (end, body) = self.end().await;
+        response.body = body;
+        response.body_end = if end == BodyEnd::Closed { BodyEnd::Complete } else { end };
+        Ok(response)
+    }
+
+    async fn read_head(&mut self) -> Result<Response, BodyEnd> {
+        loop {
             if let Some(end) = find(&self.received, b"\r\n\r\n") {
-                break self.take(end + 4);
+                return Ok(parse_head(&self.take(end + 4)));
             }
             if let Some(body_end) = self.fill().await {
                 return Err(body_end);
             }
-        };
-        let mut response = parse_head(&head);
-        response.body_end = self.read_body(&mut response).await;
-        Ok(response)
+        }
     }
 
     /// Reads the response to a `HEAD`, or an interim response: neither has a body.
