--- a/scripts/soaking/operator.py
+++ b/scripts/soaking/operator.py
@@ -1,4 +1,4 @@
-"""The simulated operator: replaces the configuration with ever new routes and checks that each change takes effect."""
+"""The simulated operator: replaces the configuration with ever new routes and keys, and checks that each change takes effect."""
 import asyncio
 import json
 import random
@@ -12,6 +12,8 @@
 HOST = "soak.example"
 #: Number of nodes that are probed for each change.
 PROBED_NODES = 24
+#: The key that clients use; each version adds another one and revokes that of the version before.
+TENANT_KEY = "key-of-clients"
 CHANGE_DEADLINE_S = 25.0
 
 
@@ -22,11 +24,22 @@
     version: int
     body: bytes
     acknowledged_at: float
+    #: The version before, whose key this one revokes.
+    previous: int
 
 
-def route(name, prefix, kind, tries):
+def route(name, prefix, kind, tries, public=True):
     return {"name": name, "host": HOST, "pathPrefix": prefix, "kind": kind, "timeoutMs": 8000, "targetMs": 500,
-            "priority": 1, "backend": SERVICE, "tries": tries, "public": True}
+            "priority": 1, "backend": SERVICE, "tries": tries, "public": public}
+
+
+def stream_route(name, prefix, tries, resumable):
+    return {**route(name, prefix, "streaming", tries), "sticky": False, "resumable": resumable, "gap_aim_ms": 1000}
+
+
+def key_of(version):
+    """The key that this version adds."""
+    return f"key-of-version-{version}"
 
 
 def configuration(version, routes, generator):
@@ -36,7 +49,10 @@
     return json.dumps({
         "version": version,
         "routes": [route("safe", "/safe/", "safe", 3), route("unsafe", "/unsafe/", "unsafe", 2),
+                   route("keyed", "/keyed/", "safe", 3, public=False), stream_route("stream", "/stream/", 1, False),
+                   stream_route("resume", "/resume/", 3, True),
                    route("added", f"/added-{version}/", "safe", 2), *extra_routes],
+        "customers": [{"name": "tenant", "apiKeys": [TENANT_KEY, key_of(version)], "priority": 1, "isolated": False}],
         "backends": [{"name": SERVICE, "healthPath": "/health", "maxConns": 4000, "protocol": "h1", "tls": False}],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     }).encode()
@@ -68,7 +84,7 @@
                 await asyncio.sleep(0.1)
                 continue
             if response.status == 200:
-                self.changes.append(Change(version, body, time.monotonic()))
+                self.changes.append(Change(version, body, time.monotonic(), self.version))
                 return
             if response.status < 500 and response.status not in (408, 429):
                 return self.checker.report(
@@ -89,15 +105,25 @@
         await asyncio.gather(*(self.probe(node, change) for node in probed))
 
     async def probe(self, node, change):
-        fields = {"Host": HOST, "X-Request-Id": f"probe-{node.number}-{change.version}"}
+        age = f"version {change.version}, acknowledged {time.monotonic() - change.acknowledged_at:.1f} s before"
+        status = await self.probe_status(node, f"route-{change.version}", f"/added-{change.version}/x")
+        if status == 404 and self.version == change.version:
+            self.checker.report("CONFIG", f"node {node.number} lacks {age}")
+        key, revoked = key_of(change.version), key_of(change.previous)
+        status = await self.probe_status(node, f"key-{change.version}", "/keyed/x", key)
+        if status == 401 and self.version == change.version:
+            self.checker.report("CONFIG", f"node {node.number} denies the key of {age}")
+        status = await self.probe_status(node, f"revoked-{change.version}", "/keyed/x", revoked)
+        if status == 200:
+            self.checker.report("REVOKED", f"node {node.number} serves a key that was revoked by {age}")
+
+    async def probe_status(self, node, name, path, key=None):
+        """The status of the response to a request sent to this node; None if there is no response."""
+        fields = {"Host": HOST, "X-Request-Id": f"probe-{node.number}-{name}", **({"X-Api-Key": key} if key else {})}
         try:
-            response = await call(
-                node.address(nodes.FRONT), f"GET /added-{change.version}/x HTTP/1.1", fields, timeout_s=9.0)
+            return (await call(node.address(nodes.FRONT), f"GET {path} HTTP/1.1", fields, timeout_s=9.0)).status
         except (OSError, TimeoutError, ConnectionEnded, Truncated):
-            return
-        if response.status == 404 and self.version == change.version:
-            self.checker.report("CONFIG", f"node {node.number} lacks version {change.version}, acknowledged "
-                              f"{time.monotonic() - change.acknowledged_at:.1f} s before")
+            return None
 
     async def read_back(self, timeout_s):
         """Polls every node until each returns the newest configuration; reports those that do not within the time given."""
--- a/scripts/soaking/wire.py
+++ b/scripts/soaking/wire.py
@@ -32,6 +32,14 @@
 
 async def read_message(reader):
     """Reads one message. Raises ConnectionEnded or Truncated."""
+    message, complete = await read_partial_message(reader)
+    if not complete:
+        raise Truncated("end within the body")
+    return message
+
+
+async def read_head(reader):
+    """Reads the head of a message. Raises ConnectionEnded or Truncated."""
     try:
         first = await reader.readline()
     except (ConnectionError, ValueError) as error:
@@ -40,26 +48,25 @@
         raise ConnectionEnded("end of the stream")
     try:
         message = Message(first.decode("latin-1").strip())
-        while line := (await reader.readline()).decode("latin-1").strip():
+        while line := (await required_line(reader)).decode("latin-1"):
             name, _, value = line.partition(":")
             message.fields[name.lower()] = value.strip()
-        message.body = await read_body(reader, message.fields)
-    except (ConnectionError, ValueError, asyncio.IncompleteReadError) as error:
+    except (ConnectionError, ValueError) as error:
         raise Truncated(repr(error)) from error
-    if not first.endswith(b"\n"):
-        raise Truncated("end within the first line")
     return message
 
 
-async def read_body(reader, fields):
-    if fields.get("transfer-encoding", "").lower() == "chunked":
-        body = b""
-        while size := int(await required_line(reader), 16):
-            body += await reader.readexactly(size)
-            await required_line(reader)
+async def chunks(reader):
+    """The data of a chunked body, as it is received."""
+    while remaining := int(await required_line(reader), 16):
+        while remaining:
+            part = await reader.read(remaining)
+            if not part:
+                raise ConnectionError("end within a chunk")
+            remaining -= len(part)
+            yield part
         await required_line(reader)
-        return body
-    return await reader.readexactly(int(fields.get("content-length", 0)))
+    await required_line(reader)
 
 
 async def required_line(reader):
@@ -69,10 +76,48 @@
     return line.strip()
 
 
+async def read_partial_message(reader):
+    """Reads a message as far as it comes. Returns it, and whether its body is complete. Raises ConnectionEnded, or Truncated
+    if it ends within the head.
+
+    Bytes that were received before the connection ended are in the body.
+    """
+    message = await read_head(reader)
+    body = bytearray()
+    try:
+        if message.fields.get("transfer-encoding", "").lower() == "chunked":
+            async for part in chunks(reader):
+                body += part
+        else:
+            remaining = int(message.fields.get("content-length", 0))
+            while remaining and (part := await reader.read(remaining)):
+                body += part
+                remaining -= len(part)
+            if remaining:
+                return Message(message.start_line, message.fields, bytes(body)), False
+    except (ConnectionError, ValueError, asyncio.IncompleteReadError):
+        return Message(message.start_line, message.fields, bytes(body)), False
+    return Message(message.start_line, message.fields, bytes(body)), True
+
+
 def encode(start_line, fields, body=b""):
     """Encodes a message with a Content-Length."""
-    lines = [start_line, *(f"{name}: {value}" for name, value in fields.items()), f"Content-Length: {len(body)}"]
-    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+    return encode_head(start_line, fields, len(body)) + body
+
+
+def encode_head(start_line, fields, length=None, chunked=False):
+    """Encodes a head; without a length and not chunked, the body ends with the connection."""
+    lines = [start_line, *(f"{name}: {value}" for name, value in fields.items())]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    if chunked:
+        lines.append("Transfer-Encoding: chunked")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+
+
+def encode_chunk(part):
+    """Encodes a chunk; an empty one is the last."""
+    return f"{len(part):x}\r\n".encode() + part + b"\r\n"
 
 
 async def get_following_redirects(address, path, timeout_s=2.0):
