Forward a Last-Event-Id that is no number

What callers saw: a client that resumes a stream with an id that is no number, or one beyond 64 bits, gets its events again from the first on.

Cause: an id that can't be parsed counted as absent, and absent means "from the beginning". The node sets the field itself, so the client's value was not forwarded either.

Change: `LastEventId` has both cases apart. An opaque id is forwarded unchanged until an event with a number follows it.

Evidence: `a_last_event_id_that_is_no_number_reaches_the_server_unchanged` failed before ("Last-Event-Id" has no elements), and passes. The golden tests and the other tests of the package pass.

--- a/dataplane/src/event_splitter.rs
+++ b/dataplane/src/event_splitter.rs
@@ -25,11 +25,16 @@
 }
 
 impl EventSplitter {
-    /// Creates a splitter for a stream that starts after the event with this id, if there is one.
+    /// Creates a splitter for a stream that starts after the event with this id, or at its beginning.
     pub fn after(last_id: Option<u64>) -> Self {
         EventSplitter { last_id, awaits_event: last_id.is_none(), ..EventSplitter::default() }
     }
 
+    /// Creates a splitter for a stream that starts after an event whose id is no number.
+    pub fn after_opaque_id() -> Self {
+        EventSplitter::default()
+    }
+
     /// The id of the last complete event that had one.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/dataplane/src/proxy.rs
+++ b/dataplane/src/proxy.rs
@@ -53,7 +53,8 @@
         let now = plane.now();
         plane.placer.borrow_mut().record_request(now, &routed.service);
         loop {
-            let result = attempt(self.request, client, &mut self.history, routed.last_event_id).await;
+            let result =
+                attempt(self.request, client, &mut self.history, routed.last_event_id.number()).await;
             let (failure_response, retry_after) = match result {
                 Err(rejection) => (LocalResponse::BadGateway, retry_after(rejection)),
                 Ok(AttemptResult::Response(response, placement)) => {
--- a/dataplane/src/response_forwarding.rs
+++ b/dataplane/src/response_forwarding.rs
@@ -16,7 +16,7 @@
 use crate::data_plane::DataPlane;
 use crate::event_splitter::EventSplitter;
 use crate::proxied_request::ProxiedRequest;
-use crate::routing::RoutedRequest;
+use crate::routing::{LastEventId, RoutedRequest};
 use crate::upstream_response::UpstreamResponse;
 
 /// Header fields of a response that the node sets itself.
@@ -104,7 +104,7 @@
             deadline: request.deadline(),
             close,
             http_1_0: request.head.is_http_1_0(),
-            events: is_stream.then(|| EventSplitter::after(routed.last_event_id)),
+            events: is_stream.then(|| event_splitter(&routed.last_event_id)),
             framing: None,
             started: false,
             attempt_ended: false,
@@ -355,6 +355,15 @@
     }
 }
 
+/// The splitter for the stream of a client that has this event last.
+fn event_splitter(last: &LastEventId) -> EventSplitter {
+    match last {
+        LastEventId::None => EventSplitter::after(None),
+        LastEventId::Number(id) => EventSplitter::after(Some(*id)),
+        LastEventId::Opaque(_) => EventSplitter::after_opaque_id(),
+    }
+}
+
 impl Drop for ResponseForwarding<'_> {
     fn drop(&mut self) {
         self.end_attempt(AttemptOutcome::ClientGone);
--- a/dataplane/src/routing.rs
+++ b/dataplane/src/routing.rs
@@ -45,8 +45,8 @@
     pub streaming: bool,
     /// Its stream may be resumed at another server.
     pub resumable: bool,
-    /// The id of the last event that its client has (`Last-Event-Id`).
-    pub last_event_id: Option<u64>,
+    /// The last event that its client has.
+    pub last_event_id: LastEventId,
     /// The requested model (`X-Model`).
     pub model: Option<String>,
     /// The chunks of its prompt, in order (`X-Prompt-Prefix`).
@@ -57,6 +57,36 @@
     pub max_output_tokens: u32,
 }
 
+/// The last event that a client has of a stream (`Last-Event-Id`). Its server goes on after that event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LastEventId {
+    /// The client has none: the stream starts at its beginning.
+    None,
+    /// The event with this id.
+    Number(u64),
+    /// The event with this id, whose meaning only the server knows.
+    Opaque(Vec<u8>),
+}
+
+impl LastEventId {
+    fn of(head: &Head) -> Self {
+        let Some(value) = head.get_all("last-event-id").next().map(<[u8]>::trim_ascii) else {
+            return LastEventId::None;
+        };
+        let number = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
+        match number {
+            Some(number) => LastEventId::Number(number),
+            None if value.is_empty() => LastEventId::None,
+            None => LastEventId::Opaque(value.to_vec()),
+        }
+    }
+
+    /// The id if it is a number.
+    pub fn number(&self) -> Option<u64> {
+        if let LastEventId::Number(number) = self { Some(*number) } else { None }
+    }
+}
+
 /// Finds the route, tenant and service of a request. `isolated_tenants_hash` is the hash of the set of isolated tenants.
 ///
 /// # Errors
@@ -89,7 +119,7 @@
         idempotent: route.may_retry(),
         streaming: route.kind == RouteKind::Streaming,
         resumable: route.resumable,
-        last_event_id: head.get("last-event-id").and_then(|text| text.trim().parse().ok()),
+        last_event_id: LastEventId::of(head),
         model: head.get("x-model").map(str::to_owned),
         prompt: head.get("x-prompt-prefix").map(prompt_chunks).unwrap_or_default(),
         prompt_tokens,
--- a/dataplane/src/upstream_request.rs
+++ b/dataplane/src/upstream_request.rs
@@ -8,7 +8,7 @@
 use gradepaddle_placement::Placement;
 
 use crate::proxied_request::ProxiedRequest;
-use crate::routing::priority_field;
+use crate::routing::{LastEventId, priority_field};
 
 /// Header fields that only the node may set: the client's values are not forwarded.
 const NODE_FIELDS: [&str; 12] = [
@@ -32,7 +32,7 @@
 const MIN_DEADLINE_MS: u64 = 1;
 
 /// The head of the request for the selected server. `time_left` is the time that the server has to respond, `last_event_id`
-/// the id of the last event that the client has.
+/// the id of the last event that the client has, if that is a number.
 pub(crate) fn upstream_request_head(
     request: &ProxiedRequest<'_>,
     placement: &Placement,
@@ -63,17 +63,25 @@
     if let Some(store) = placement.save {
         field("Kv-Save", &store.to_string());
     }
-    if let Some(id) = last_event_id {
-        field("Last-Event-Id", &id.to_string());
-    }
+    push_last_event_id(&mut out, &request.routed.last_event_id, last_event_id);
     let length = request.body.len();
     if length > 0 || !matches!(head.method(), "GET" | "HEAD") {
-        field("Content-Length", &length.to_string());
+        push_field(&mut out, "Content-Length", length.to_string().as_bytes());
     }
     out.push(b"\r\n");
     out
 }
 
+/// The event after which the server begins: the last one that was forwarded (`forwarded`), or else the last one that the
+/// client had before (`before`).
+fn push_last_event_id(out: &mut Chain, before: &LastEventId, forwarded: Option<u64>) {
+    match (forwarded, before) {
+        (Some(id), _) => push_field(out, "Last-Event-Id", id.to_string().as_bytes()),
+        (None, LastEventId::Opaque(id)) => push_field(out, "Last-Event-Id", id),
+        (None, _) => {}
+    }
+}
+
 /// The request line and the client's header fields that are forwarded.
 fn forwarded_client_head(pool: &Pool, head: &Head) -> Chain {
     let mut out = pool.chain();
--- a/dataplane/tests/streams.rs
+++ b/dataplane/tests/streams.rs
@@ -469,6 +469,29 @@
     });
 }
 
+/// A `Last-Event-Id` that is no number was dropped: the server began the stream anew, and the client got its events twice.
+#[gtest]
+fn a_last_event_id_that_is_no_number_reaches_the_server_unchanged() {
+    run(async {
+        for id in ["abc-7", "12a", "-1", "99999999999999999999"] {
+            let request = || ClientRequest::post("/resume/x").field("Last-Event-Id", id);
+            let harness = Harness::new(vec![reset(), stream(8..=9)]).await;
+            let response = harness.request(&request()).await;
+            expect_that!((response.body_end, &*response.text()), eq((BodyEnd::Complete, &*events(8..=9))));
+            for server_request in harness.all_server_requests().await {
+                expect_that!(server_request.all("Last-Event-Id"), elements_are![eq(&id)]);
+            }
+            // The client may have the last event already.
+            let harness = Harness::new(vec![closed_stream("", b"", &opened_gate())]).await;
+            let response = harness.request(&request()).await;
+            expect_that!((response.body_end, &*response.text()), eq((BodyEnd::Complete, "")), "{id}");
+        }
+        let harness = Harness::new(vec![stream(1..=2)]).await;
+        harness.request(&ClientRequest::post("/resume/x").field("Last-Event-Id", "")).await;
+        expect_that!(harness.all_server_requests().await[0].all("Last-Event-Id"), is_empty());
+    });
+}
+
 #[gtest]
 fn a_stream_resumed_after_its_last_event_may_be_empty() {
     run(async {
