List the facts with two meanings in the code, and hold the list to it

`docs/checking.md` has a table of the places in the fleet's code where the end, the absence or the age of something is taken for an answer: what it may mean, what tells the meanings apart, which checks draw both. A test of `system` holds its files and tests to the code, as it does for `conformance.md`.

One check was missing and is added: an empty list of changes of a store that has lost some.

--- a/dataplane/tests/cache_events.rs
+++ b/dataplane/tests/cache_events.rs
@@ -96,6 +96,21 @@
     });
 }
 
+/// An empty list means that nothing has changed, unless the store says that it has dropped changes.
+#[gtest]
+fn an_empty_list_of_a_store_that_lost_changes_is_a_reset() {
+    run(async {
+        let list = json!({"epoch": 4, "nextToken": 2, "held": []});
+        let empty =
+            |lost: bool, next: u64| json!({"epoch": 4, "nextToken": next, "lost": lost, "events": []});
+        let added = json!({"epoch": 4, "nextToken": 10, "events": [[10, "+", SALT, "a1", 64, "m0"]]});
+        let (_harness, other) = subscribed(0, vec![list, empty(false, 2), empty(true, 9), added]).await;
+        let reports = reports(&other, 2).await;
+        let seen: Vec<_> = reports.iter().map(|report| (report.reset, report.chunks.len())).collect();
+        expect_that!(seen, eq(&[(true, 0), (false, 1)]));
+    });
+}
+
 /// All subscribed nodes see the same changes; if each of them reported them, they would be reported several times.
 #[gtest]
 fn a_node_that_is_not_the_first_reports_no_changes_of_a_store() {
--- a/system/tests/conformance_page.rs
+++ b/system/tests/conformance_page.rs
@@ -1,5 +1,5 @@
 //! Holds `docs/conformance.md` to the code: each file and each test function that it names exists, and each row that names
-//! a file names a test, a measurement, or says what is missing.
+//! a file names a test, a measurement, or says what is missing. The same for a table of `docs/checking.md`.
 
 use std::collections::BTreeSet;
 use std::fs;
@@ -88,3 +88,34 @@
         expect_true!(open || !shown.is_empty(), "{rule}: neither shown nor open");
     }
 }
+
+/// The table of facts with two meanings in `docs/checking.md`.
+fn two_meanings() -> Vec<Vec<String>> {
+    let page = fs::read_to_string(workspace().join("docs/checking.md")).expect("the page is there");
+    let (_, section) = page.split_once("\n## One fact, two meanings\n").expect("the section is there");
+    let section = section.split("\n## ").next().unwrap_or_default();
+    rows(section).into_iter().filter(|row| row[0] != "what, and where").collect()
+}
+
+#[gtest]
+fn each_fact_with_two_meanings_names_its_file_and_its_tests() {
+    let (rows, tests) = (two_meanings(), test_functions());
+    expect_that!(rows.len(), gt(15), "the table is found");
+    for row in rows {
+        let [place, _, told_apart_by, shown] = &row[..] else {
+            expect_that!(row.len(), eq(4), "cells of {row:?}");
+            continue;
+        };
+        let places = names(place);
+        let files: Vec<&String> = places.iter().filter(|name| name.ends_with(".rs")).collect();
+        expect_that!(files.len(), eq(1), "{place}: one file");
+        for file in files {
+            expect_true!(workspace().join(file).is_file(), "{place}: no file {file}");
+        }
+        for name in names(shown).iter().filter(|name| name.contains('_')) {
+            expect_true!(tests.contains(name), "{place}: no test {name}");
+        }
+        let is_open = told_apart_by.contains("*open*") || shown.contains("*open*");
+        expect_true!(is_open || !names(shown).is_empty(), "{place}: neither checked nor open");
+    }
+}
