--- a/scripts/soaking/model_server.py
+++ b/scripts/soaking/model_server.py
@@ -2,7 +2,7 @@
 
 model_server NAME IP PORT SEED CONTROL-ADDRESS...
 
-Reports are lines of words: `started`, `opening` and `completed` come before the bytes to which they refer, `within` and `written`
+Reports are lines of words: `serving` once SIGTERM is handled, `started`, `opening` and `completed` come before the bytes to which they refer, `within` and `written`
 after them. The process ends upon SIGTERM, after it has drained, and when its standard input is closed.
 """
 import asyncio
@@ -46,12 +46,12 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         loop.add_reader(sys.stdin.fileno(), lambda: os._exit(0))
+        report("serving")
         heartbeats = asyncio.create_task(self.send_heartbeats())
         await self.stopping.wait()
         heartbeats.cancel()
         await self.drain()
         listener.close()
-        report("ended")
 
     async def send_heartbeats(self):
         while True:
--- a/scripts/soaking/servers.py
+++ b/scripts/soaking/servers.py
@@ -12,6 +12,8 @@
 PORT = 8200
 #: How long a server serves on after the acknowledgement that it drains: `drainMs` and a little more, in seconds.
 DRAIN_S = 3.5
+#: Longest time in which a process starts, in seconds.
+START_S = 30.0
 #: Longest time in which a process ends after SIGTERM, in seconds.
 END_S = 25.0
 #: How long before a kill and after a freeze of a server a request there may be lost, in seconds.
@@ -77,8 +79,8 @@
                 self.run_at(server, name).written = True
             case ["completed", name]:
                 self.run_at(server, name).completed = True
-            case ["ended"]:
-                server.ended_in_order = True
+            case ["serving"]:
+                server.serving.set()
 
     def run_at(self, server, name):
         return next(run for run in reversed(self.runs[name]) if run.server is server)
@@ -96,10 +98,11 @@
         self.fleet, self.executions = fleet, executions
         self.seed = seed * 1000 + incarnation
         self.process, self.reports = None, None
-        self.ended_in_order = False
+        self.serving = asyncio.Event()
         self.loss_windows = []
 
     async def start(self):
+        """Starts the process and waits until it serves."""
         control = [f"{node.ip}:{nodes.CONTROL}" for node in self.fleet.nodes]
         arguments = [self.name, self.fleet.ip(240 + self.place), str(PORT), str(self.seed), *control]
         with open(os.path.join(self.fleet.folder, f"{self.name}.log"), "w") as log:
@@ -107,6 +110,8 @@
                 sys.executable, "-m", "soaking.model_server", *arguments, cwd=SCRIPTS, stderr=log,
                 stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE)
         self.reports = asyncio.create_task(self.read_reports())
+        async with asyncio.timeout(START_S):
+            await self.serving.wait()
 
     async def read_reports(self):
         async for line in self.process.stdout:
