--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -1,5 +1,6 @@
 //! Tests of the script that compares a test run with the list of known failures.
 
+use std::ffi::OsStr;
 use std::path::PathBuf;
 use std::process::Command;
 
@@ -8,26 +9,48 @@
     error: 1 target failed:\n    `-p x --test y`\n";
 const KILLED: &str = "test a::one ... FAILED\ntest result: FAILED. 0 passed; 1 failed\n\
     error: 2 targets failed:\n    `-p x --test y`\n    `-p x --test z`\n";
+const COMMAND: &str = "$ scripts/soak --seeds $SEED, seed 7, ORDER twice, an event is lost, issue 72\n";
 const NAMES: &str = "a::one: test\nb: test\nc: test\nd: test\n\n4 tests, 0 benchmarks\n";
 
-/// The exit status and output of the script for a run.
-fn judged(case: &str, log: &str, status: &str, list: &str) -> (bool, String) {
-    let folder = std::env::temp_dir().join(format!("known-red-{}-{case}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
-    let file = |name: &str, text: &str| -> PathBuf {
-        let path = folder.join(name);
+/// A folder for the files of one case.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(case: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("known-red-{}-{case}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+
+    fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
         std::fs::write(&path, text).expect("a file");
         path
-    };
-    let (log, names, list) = (file("log", log), file("names", NAMES), file("list", list));
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.0).expect("a folder");
+    }
+}
+
+/// The exit status and output of the script with these arguments.
+fn run(arguments: &[&OsStr]) -> (bool, String) {
     let script = concat!(env!("CARGO_MANIFEST_DIR"), "/scripts/known-red");
-    let run = Command::new("bash").arg(script).args([&log, &names]).arg(status).arg(list).output();
-    let run = run.expect("the script");
+    let run = Command::new("bash").arg(script).args(arguments).output().expect("the script");
     let said = String::from_utf8_lossy(&run.stdout).into_owned() + &String::from_utf8_lossy(&run.stderr);
-    std::fs::remove_dir_all(folder).expect("a folder");
     (run.status.success(), said)
 }
 
+/// The exit status and output of the script for a run.
+fn judged(case: &str, log: &str, status: &str, list: &str) -> (bool, String) {
+    let folder = Folder::new(case);
+    let (log, names, list) =
+        (folder.file("log", log), folder.file("names", NAMES), folder.file("list", list));
+    run(&[log.as_ref(), names.as_ref(), status.as_ref(), list.as_ref()])
+}
+
 /// Guards against failures that are not on the list, and against a list with tests that pass again or do not exist, or with
 /// more than three entries.
 #[test]
@@ -44,6 +67,19 @@
         ("no cause", FAILED, "101", "a::one\n", false, "not a line of"),
         ("killed", KILLED, "101", one, false, "2 targets failed, 1 of them"),
         ("did not build", "error: could not compile\n", "101", "", false, "no test failed"),
+        ("command", PASSED, "0", COMMAND, true, "not run here: $ scripts/soak --seeds $SEED"),
+        ("test and command", FAILED, "101", &[one, COMMAND].concat(), true, "a::one, loses an answer, 34"),
+        ("command excuses no test", FAILED, "101", COMMAND, false, "not listed: a::one"),
+        (
+            "command without a seed",
+            PASSED,
+            "0",
+            "$ exit 1, loses an answer, issue 72\n",
+            false,
+            "not a line of",
+        ),
+        ("command without an issue", PASSED, "0", "$ exit 1, no seed, loses it\n", false, "not a line of"),
+        ("fourth command", PASSED, "0", &COMMAND.repeat(4), false, "more than three"),
     ];
     for (case, log, status, list, passes, says) in cases {
         let (passed, said) = judged(&case.replace(' ', "-"), log, status, list);
@@ -51,3 +87,29 @@
         assert!(said.contains(says), "{case}: {said}");
     }
 }
+
+/// Guards against entries that stay on the list though their command passes by now, and against a seed that the command
+/// doesn't get.
+#[test]
+fn a_replay_runs_the_commands_and_says_which_pass() {
+    let cases = [
+        ("fails", "$ exit 3, no seed, it ends, issue 1\n", true, "still fails (status 3): $ exit 3"),
+        ("passes", "$ true, no seed, it ended, issue 1\n", false, "passes by now: $ true"),
+        (
+            "fails with its seed",
+            "$ test $SEED = 8, seed 7, it ends, issue 1\n",
+            true,
+            "still fails (status 1)",
+        ),
+        ("passes with its seed", "$ test $SEED = 7, seed 7, it ended, issue 1\n", false, "passes by now"),
+        ("malformed", "$ true\n", false, "not a line of"),
+        ("empty", "", true, ""),
+    ];
+    for (case, list, passes, says) in cases {
+        let folder = Folder::new(&format!("replay-{}", case.replace(' ', "-")));
+        let list = folder.file("list", list);
+        let (passed, said) = run(&["--replay".as_ref(), list.as_ref()]);
+        assert_eq!(passed, passes, "{case}: {said}");
+        assert!(said.contains(says), "{case}: {said}");
+    }
+}
