--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -30,6 +30,7 @@
 mod counters;
 mod data_plane;
 mod denied_requests;
+mod event_gaps;
 mod event_splitter;
 mod key_validity;
 mod lifecycle;
--- a/dataplane/src/proxy.rs
+++ b/dataplane/src/proxy.rs
@@ -14,7 +14,7 @@
 use crate::counters::increment;
 use crate::local_response::LocalResponse;
 use crate::proxied_request::ProxiedRequest;
-use crate::response_forwarding::{ForwardingOutcome, ResponseForwarding};
+use crate::response_forwarding::{ForwardingOutcome, ResponseForwarding, ResumePoint};
 use crate::retry::AttemptHistory;
 use crate::upstream_response::UpstreamResponse;
 
@@ -109,7 +109,7 @@
                 }
                 ForwardingOutcome::ClientGone => return RequestOutcome::Aborted,
                 ForwardingOutcome::Interrupted => {
-                    let Some((response, placement)) = self.resume(client, forwarding.resume_from()).await
+                    let Some((response, placement)) = self.resume(client, forwarding.resume_point()).await
                     else {
                         increment(&counters.failed);
                         // The client must see a reset: an end could pass for the end of the response.
@@ -123,14 +123,13 @@
         }
     }
 
-    /// Resumes a stream at another server, after the last event that the client has. `resume_point` is what
-    /// [`ResponseForwarding::resume_from`] returned: `None` if the response can't be resumed.
+    /// Resumes a stream at another server. `resume_point` is none if the response can't be resumed.
     async fn resume(
         &mut self,
         client: &Connection,
-        resume_point: Option<Option<u64>>,
+        resume_point: Option<ResumePoint>,
     ) -> Option<(UpstreamResponse, Placement)> {
-        let last_event_id = resume_point?;
+        let ResumePoint { last_event_id } = resume_point?;
         loop {
             if !self.history.may_send(self.request) || Instant::now() >= self.request.deadline() {
                 return None;
--- a/dataplane/src/response_forwarding.rs
+++ b/dataplane/src/response_forwarding.rs
@@ -3,7 +3,6 @@
 //! Only complete events of a stream are forwarded, so that what the client has received always ends at an event boundary.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use gradepaddle_http::buffers::Chain;
 use gradepaddle_http::{
@@ -14,6 +13,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::data_plane::DataPlane;
+use crate::event_gaps::EventGaps;
 use crate::event_splitter::EventSplitter;
 use crate::proxied_request::ProxiedRequest;
 use crate::routing::{LastEventId, RoutedRequest};
@@ -35,6 +35,13 @@
     ClientGone,
 }
 
+/// Where a stream may be resumed at another server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ResumePoint {
+    /// The last event that was forwarded, or that the client had before; none if no event has a number yet.
+    pub last_event_id: Option<u64>,
+}
+
 /// How far the body of a server's response has been received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum BodyProgress {
@@ -71,21 +78,6 @@
     gaps: EventGaps,
 }
 
-/// The gaps between the events of one stream from one server.
-#[derive(Default)]
-struct EventGaps {
-    last_event_at: Option<Instant>,
-    longest: Option<Duration>,
-}
-
-impl EventGaps {
-    fn record_event(&mut self, now: Instant) {
-        if let Some(last) = self.last_event_at.replace(now) {
-            self.longest = self.longest.max(Some(now - last));
-        }
-    }
-}
-
 impl<'a> ResponseForwarding<'a> {
     /// Creates the forwarding of a response of which nothing has been written to the client.
     pub fn new(
@@ -112,13 +104,12 @@
         }
     }
 
-    /// The id of the event after which another server may resume the stream, `Some(None)` for its beginning; `None` if this
-    /// response can't be resumed.
-    pub fn resume_from(&self) -> Option<Option<u64>> {
+    /// Where another server may resume the stream; none if this response can't be resumed.
+    pub fn resume_point(&self) -> Option<ResumePoint> {
         let events = self.events.as_ref()?;
         let open_ended = matches!(self.framing, None | Some(Framing::Chunked | Framing::UntilClose));
         let resumable = self.routed.resumable && open_ended && events.last_event_has_id();
-        (resumable && Instant::now() < self.deadline).then(|| events.last_id())
+        (resumable && Instant::now() < self.deadline).then(|| ResumePoint { last_event_id: events.last_id() })
     }
 
     /// Continues with the response of another server, whose head is not forwarded.
@@ -276,7 +267,7 @@
     /// Reports the longest gap between the events of a complete stream to the placer, as a measure of how the service
     /// performs.
     fn report_longest_gap(&self) {
-        if let Some(longest) = self.gaps.longest {
+        if let Some(longest) = self.gaps.longest() {
             let longest = longest.as_micros() as u64;
             let pause = StreamPause { service: &self.routed.service, longest };
             self.plane.placer.borrow_mut().observe_stream_pause(pause);
