--- a/dataplane/tests/streams.rs
+++ b/dataplane/tests/streams.rs
@@ -347,35 +347,67 @@
     (text.into_bytes(), ends)
 }
 
+/// A client's response to a stream without a length of which the first server sent so many bytes, before it closed its
+/// connection in order within an event.
+struct ClosedWithinEvent {
+    cut: usize,
+    complete_events: usize,
+    harness: Harness,
+    client: Client,
+    response: Response,
+}
+
+/// Requests this target once for each offset within an event of three. `next` is the script of a second server.
+async fn close_within_each_event(
+    target: &str,
+    next: impl Fn() -> Option<Script>,
+    check: impl AsyncFn(ClosedWithinEvent),
+) {
+    for line_end in ["\n", "\r\n"] {
+        let (text, ends) = three_plain_events(line_end);
+        for cut in (1..text.len()).filter(|cut| !ends.contains(cut)) {
+            let gate = Gate::default();
+            let content_type = STREAM_CONTENT_TYPES[cut % STREAM_CONTENT_TYPES.len()];
+            let first = closed_stream(content_type, &text[..cut], &gate);
+            let harness = Harness::new([first].into_iter().chain(next()).collect()).await;
+            let mut client = harness.client().await;
+            client.send(&ClientRequest::post(target).bytes()).await;
+            client.wait_for("\r\n\r\n").await;
+            gate.open();
+            let mut response = client.response().await;
+            // The line ends of two servers' events may differ.
+            response.body = response.text().replace("\r\n", "\n").into_bytes();
+            expect_that!(harness.plane.placer.borrow().in_flight(), eq(0), "after {cut} bytes");
+            let complete_events = ends.iter().filter(|end| **end < cut).count();
+            check(ClosedWithinEvent { cut, complete_events, harness, client, response }).await;
+        }
+    }
+}
+
 /// A crashed server's connections are closed in order. The end of the connection passed for the end of a stream without a
 /// length, so that clients got half an event as the end of a complete response.
 #[gtest]
 fn a_stream_without_a_length_that_ends_within_an_event_is_resumed() {
     run(async {
-        for line_end in ["\n", "\r\n"] {
-            let (text, ends) = three_plain_events(line_end);
-            for cut in (1..text.len()).filter(|cut| !ends.contains(cut)) {
-                let complete_events = ends.iter().filter(|end| **end < cut).count();
-                let gate = Gate::default();
-                let content_type = STREAM_CONTENT_TYPES[cut % STREAM_CONTENT_TYPES.len()];
-                let first = closed_stream(content_type, &text[..cut], &gate);
-                let harness = Harness::new(vec![first, resumed_until(5)]).await;
-                let mut client = harness.client().await;
-                client.send(&ClientRequest::post("/resume/x").bytes()).await;
-                client.wait_for("\r\n\r\n").await;
-                gate.open();
-                let response = client.response().await;
+        close_within_each_event(
+            "/resume/x",
+            || Some(resumed_until(5)),
+            async |closed| {
+                let ClosedWithinEvent { cut, complete_events, harness, response, .. } = closed;
                 expect_that!(response.body_end, eq(BodyEnd::Complete), "after {cut} bytes");
-                // The line ends of the two servers' events may differ.
-                expect_that!(response.text().replace("\r\n", "\n"), eq(&events(1..=5)), "after {cut} bytes");
+                expect_that!(response.text(), eq(&events(1..=5)), "after {cut} bytes");
                 let server_requests = harness.all_server_requests().await;
-                assert_that!(server_requests.len(), eq(2), "after {cut} bytes");
+                expect_that!(server_requests.len(), eq(2), "after {cut} bytes");
                 expect_that!(response.field("X-Server-Seal"), some(eq(&*seal(&server_requests[0]))));
-                let last_event_id = server_requests[1].field("Last-Event-Id").unwrap_or("0").to_owned();
-                expect_that!(last_event_id, eq(&complete_events.to_string()), "after {cut} bytes");
-                expect_that!(harness.plane.placer.borrow().in_flight(), eq(0));
-            }
-        }
+                let resumed_after = server_requests.last().and_then(|request| request.field("Last-Event-Id"));
+                expect_that!(
+                    resumed_after.unwrap_or("0"),
+                    eq(&complete_events.to_string()),
+                    "after {cut} bytes"
+                );
+            },
+        )
+        .await;
     });
 }
 
@@ -383,26 +415,19 @@
 #[gtest]
 fn a_stream_without_a_length_that_ends_within_an_event_is_visibly_truncated() {
     run(async {
-        for line_end in ["\n", "\r\n"] {
-            let (text, ends) = three_plain_events(line_end);
-            for cut in (1..text.len()).filter(|cut| !ends.contains(cut)) {
-                let complete_events = ends.iter().filter(|end| **end < cut).count() as u64;
-                let gate = Gate::default();
-                let content_type = STREAM_CONTENT_TYPES[cut % STREAM_CONTENT_TYPES.len()];
-                let harness = Harness::new(vec![closed_stream(content_type, &text[..cut], &gate)]).await;
-                let mut client = harness.client().await;
-                client.send(&ClientRequest::post("/stream/x").bytes()).await;
-                client.wait_for("\r\n\r\n").await;
-                gate.open();
-                let response = client.response().await;
+        close_within_each_event(
+            "/stream/x",
+            || None,
+            async |closed| {
+                let ClosedWithinEvent { cut, complete_events, harness, mut client, response } = closed;
                 expect_true!(response.is_truncated(), "after {cut} bytes");
-                expect_that!(response.text().replace("\r\n", "\n"), eq(&events(1..=complete_events)));
+                expect_that!(response.text(), eq(&events(1..=complete_events as u64)), "after {cut} bytes");
                 expect_that!(client.end().await.1, is_empty(), "after {cut} bytes");
-                expect_that!(harness.servers_reached().await.len(), eq(1));
+                expect_that!(harness.servers_reached().await.len(), eq(1), "after {cut} bytes");
                 expect_that!(harness.plane.counters.responses.get(), eq(0), "after {cut} bytes");
-                expect_that!(harness.plane.placer.borrow().in_flight(), eq(0));
-            }
-        }
+            },
+        )
+        .await;
     });
 }
 
--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -1,6 +1,7 @@
 //! Tests of the script that compares a test run with the list of known failures.
 
 use std::ffi::OsStr;
+use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::process::Command;
 
@@ -37,8 +38,14 @@
 
 /// The exit status and output of the script with these arguments.
 fn run(arguments: &[&OsStr]) -> (bool, String) {
+    run_with_path(arguments, &std::env::var("PATH").expect("a path"))
+}
+
+/// As [`run`], with another search path for programs.
+fn run_with_path(arguments: &[&OsStr], path: &str) -> (bool, String) {
     let script = concat!(env!("CARGO_MANIFEST_DIR"), "/scripts/known-red");
-    let run = Command::new("bash").arg(script).args(arguments).output().expect("the script");
+    let run = Command::new("bash").arg(script).args(arguments).env("PATH", path).output();
+    let run = run.expect("the script");
     let said = String::from_utf8_lossy(&run.stdout).into_owned() + &String::from_utf8_lossy(&run.stderr);
     (run.status.success(), said)
 }
@@ -88,6 +95,30 @@
     }
 }
 
+/// A stand-in for cargo that runs one test, which passes.
+const CARGO: &str = "#!/bin/sh\nshift 4\n[ \"$2\" != a::one ] || echo 'test a::one ... ok'\n\
+    [ \"$2\" != b ] || { echo 'test b ... FAILED'; exit 101; }\n";
+
+/// Guards against a listed test that counts as passing because none of this name runs.
+#[test]
+fn a_replay_runs_the_tests_and_says_which_pass() {
+    let cases = [
+        ("passes", "a::one, x, issue 1\n", false, "passes by now: a::one"),
+        ("fails", "b, x, issue 1\n", true, "still fails (status 1): b"),
+        ("nobody", "c, x, issue 1\n", true, "no test of this name ran"),
+    ];
+    for (case, list, passes, says) in cases {
+        let folder = Folder::new(&format!("replay-test-{case}"));
+        let list = folder.file("list", list);
+        let cargo = folder.file("cargo", CARGO);
+        std::fs::set_permissions(&cargo, std::fs::Permissions::from_mode(0o755)).expect("a mode");
+        let path = format!("{}:{}", folder.0.display(), std::env::var("PATH").expect("a path"));
+        let (passed, said) = run_with_path(&["--replay".as_ref(), list.as_ref()], &path);
+        assert_eq!(passed, passes, "{case}: {said}");
+        assert!(said.contains(says), "{case}: {said}");
+    }
+}
+
 /// Guards against entries that stay on the list though their command passes by now, and against a seed that the command
 /// doesn't get.
 #[test]
