--- a/dataplane/tests/cache_events.rs
+++ b/dataplane/tests/cache_events.rs
@@ -111,6 +111,34 @@
     });
 }
 
+/// A store that crashes while it sends its contents closes its connection in order: where they have no length, a part of them
+/// must not pass for all.
+#[gtest]
+fn contents_without_a_length_that_end_early_are_not_taken() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = v4(listener.local_addr().expect("it is bound"));
+        let harness = Harness::with_configuration(with_store(address), vec![]).await;
+        let held =
+            json!({"epoch": 4, "nextToken": 2, "held": [[SALT, "a1", 64, "m0"], [SALT, "b2", 64, "m0"]]});
+        let body = held.to_string();
+        let index_entries = || harness.plane.placer.borrow().table_sizes().index_entries;
+        for end in [1, body.len() / 2, body.len() - 1, body.len()] {
+            expect_that!(index_entries(), eq(0), "before {end} bytes");
+            let (stream, _) = listener.accept().await.expect("a call");
+            let pool = Pool::default();
+            let mut connection = Connection::new(stream, &pool, ());
+            connection.read_head().await.expect("a call");
+            let mut out = pool.chain();
+            out.push(format!("HTTP/1.1 200 OK\r\n\r\n{}", &body[..end]).as_bytes());
+            connection.write(&[&out]).await.expect("the node reads");
+        }
+        while index_entries() < 2 {
+            tokio::task::yield_now().await;
+        }
+    });
+}
+
 /// All subscribed nodes see the same changes; if each of them reported them, they would be reported several times.
 #[gtest]
 fn a_node_that_is_not_the_first_reports_no_changes_of_a_store() {
