--- a/dataplane/src/event_gaps.rs
+++ b/dataplane/src/event_gaps.rs
@@ -12,7 +12,7 @@
 }
 
 impl EventGaps {
-    /// Records that an event has come.
+    /// Records that an event was received.
     pub fn record_event(&mut self, now: Instant) {
         if let Some(last) = self.last_event_at.replace(now) {
             self.longest = self.longest.max(Some(now - last));
--- a/dataplane/src/event_splitter.rs
+++ b/dataplane/src/event_splitter.rs
@@ -90,7 +90,7 @@
         std::mem::take(&mut self.pending)
     }
 
-    /// Discards the beginning of an event that will not be completed. The stream goes on with the whole event.
+    /// Discards the beginning of an event that will not be completed. The server that resumes the stream sends the event again.
     pub fn discard_partial(&mut self) {
         self.awaits_event |= self.is_within_event();
         self.pending.clear();
