--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -142,43 +142,38 @@
         pages * 4096
     }
 
-    /// Sends a configuration to the control addresses in turn until one takes it, as the operator does.
-    pub fn put_configuration(&self, base: u64, body: &str, limit: Duration) -> Result<Instant, String> {
+    /// Sends a complete configuration until it is acknowledged.
+    pub fn put_configuration(&self, base: u64, body: &str, limit: Duration) -> Result<(), String> {
+        self.change("PUT", base, body, limit)
+    }
+
+    /// Sends a change to the control addresses in turn until one acknowledges it, as the operator does.
+    pub fn change(&self, method: &str, base: u64, body: &str, limit: Duration) -> Result<(), String> {
         let until = Instant::now() + limit;
+        // Longer for large bodies.
+        let patience = Duration::from_secs(1) + Duration::from_micros(body.len() as u64);
         let mut turn = 0;
         while Instant::now() < until {
-            let mut to = self.nodes[turn % self.nodes.len()].control;
+            let to = self.nodes[turn % self.nodes.len()].control;
             turn += 1;
-            for _ in 0..3 {
-                let head = format!(
-                    "PUT /v1/config HTTP/1.1\r\nHost: {to}\r\nIf-Match: {base}\r\nContent-Type: application/json\r\n\
-                     Content-Length: {}\r\nConnection: close\r\n\r\n",
-                    body.len()
-                );
-                let answer = http::call(to, head.as_bytes(), body.as_bytes(), Duration::from_secs(1));
-                match answer {
-                    Ok(answer) if answer.status == 200 => {
-                        self.record.line(&format!("operator: configuration on {base} acknowledged by {to}"));
-                        return Ok(Instant::now());
-                    }
-                    Ok(answer) if answer.status == 307 => {
-                        let location = answer.header("location").unwrap_or_default().to_owned();
-                        let address =
-                            location.trim_start_matches("http://").split('/').next().unwrap_or("").parse();
-                        match address {
-                            Ok(address) => to = address,
-                            Err(_) => break,
-                        }
-                    }
-                    Ok(answer) if [400, 409, 412, 413, 422].contains(&answer.status) => {
-                        return Err(format!("configuration refused: {} {}", answer.status, answer.text()));
-                    }
-                    _ => break,
+            let head = format!(
+                "{method} /v1/config HTTP/1.1\r\nHost: {to}\r\nIf-Match: {base}\r\nContent-Type: application/json\r\n\
+                 Content-Length: {}\r\nConnection: close\r\n\r\n",
+                body.len()
+            );
+            let answer = http::call_following(to, &head, body.as_bytes(), patience);
+            if let Ok(answer) = &answer {
+                self.record.line(&format!("operator: {method} on {base} at {to}: {}", answer.status));
+                if answer.status == 200 {
+                    return Ok(());
+                }
+                if [400, 409, 412, 413, 422].contains(&answer.status) {
+                    return Err(format!("refused with {}: {}", answer.status, answer.text()));
                 }
             }
             sleep(Duration::from_millis(200));
         }
-        Err("no acknowledgement of the configuration".to_owned())
+        Err("no acknowledgement".to_owned())
     }
 
     /// Waits until all nodes say that they are ready.
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -112,6 +112,26 @@
     Ok(answer)
 }
 
+/// Like [`call`], and follows a 307 twice.
+pub fn call_following(
+    to: SocketAddrV4,
+    head: &str,
+    body: &[u8],
+    limit: Duration,
+) -> std::io::Result<Message> {
+    let mut to = to;
+    let mut answer = call(to, head.as_bytes(), body, limit)?;
+    for _ in 0..2 {
+        let location = answer.header("location").filter(|_| answer.status == 307).unwrap_or_default();
+        let address =
+            location.trim_start_matches("http://").split('/').next().and_then(|text| text.parse().ok());
+        let Some(address) = address else { break };
+        to = address;
+        answer = call(to, head.as_bytes(), body, limit)?;
+    }
+    Ok(answer)
+}
+
 /// The platform's question for readiness.
 pub fn is_ready(at: SocketAddrV4) -> bool {
     let head = format!("GET /v1/ready HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n");
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,6 +4,7 @@
 
 mod empty_customers;
 mod fleet;
+mod grown_configuration;
 mod http;
 mod long_bodies;
 mod record;
@@ -26,6 +27,7 @@
     };
     let outcome = match case.as_str() {
         "empty-customers" => empty_customers::play(record.clone(), trouble),
+        "grown-configuration" => grown_configuration::play(record.clone(), trouble),
         "long-bodies" => long_bodies::play(record.clone(), trouble),
         _ => Err(format!("no case {case}")),
     };
