--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -123,6 +123,15 @@
         self.nodes[index].child.as_ref().map(Child::id)
     }
 
+    /// Starts a node again. Its settings no longer say that the whole system starts for the first time.
+    pub fn restart(&mut self, index: usize) -> Result<(), String> {
+        let settings = &self.nodes[index].settings;
+        let text = fs::read_to_string(settings).map_err(|error| error.to_string())?;
+        let text = text.replace("firstBoot = true", "firstBoot = false");
+        fs::write(settings, text).map_err(|error| error.to_string())?;
+        self.start(index)
+    }
+
     /// SIGKILL, and waits for the end.
     pub fn kill(&mut self, index: usize) {
         let node = &mut self.nodes[index];
--- a/review/stand-ins-2/grown_configuration.rs
+++ b/review/stand-ins-2/grown_configuration.rs
@@ -107,7 +107,7 @@
         let index = primary(&fleet).ok_or("no primary before the kill")?;
         fleet.kill(index);
         sleep(DOWN);
-        fleet.start(index)?;
+        fleet.restart(index)?;
     }
     let found = read_back(&fleet, newest, READ_LIMIT);
     record.line(&format!(
--- a/review/stand-ins-2/long_bodies.rs
+++ b/review/stand-ins-2/long_bodies.rs
@@ -101,7 +101,7 @@
                 fleet.kill(node);
                 ends.push(node);
                 sleep(Duration::from_millis(500));
-                fleet.start(node)?;
+                fleet.restart(node)?;
                 break;
             }
             sleep(Duration::from_millis(5));
