--- a/system/tests/command_line/fleet.rs
+++ b/system/tests/command_line/fleet.rs
@@ -19,10 +19,21 @@
 /// Number of consecutive ports of each machine: front, readiness, control, and those between nodes.
 const PORTS: u16 = 8;
 
+/// Resources of each process (`limits` of the settings).
+#[derive(Clone, Copy)]
+pub struct Resources {
+    /// `memoryMb`
+    pub memory_mb: u64,
+    /// `openFiles`
+    pub open_files: u64,
+}
+
 /// The processes of a fleet, killed when it is dropped.
 pub struct Fleet {
     scratch: Scratch,
     port: u16,
+    /// The resources that the settings name; none for the defaults.
+    resources: Option<Resources>,
     children: Vec<Option<Child>>,
 }
 
@@ -53,7 +64,13 @@
 impl Fleet {
     /// Starts a fleet for the first time.
     pub fn start(nodes: usize) -> Result<Fleet> {
-        let mut fleet = Fleet { scratch: Scratch::new(), port: free_ports(nodes)?, children: Vec::new() };
+        Fleet::start_with(nodes, None)
+    }
+
+    /// Starts a fleet for the first time whose processes have these resources.
+    pub fn start_with(nodes: usize, resources: Option<Resources>) -> Result<Fleet> {
+        let port = free_ports(nodes)?;
+        let mut fleet = Fleet { scratch: Scratch::new(), port, resources, children: Vec::new() };
         for node in 0..nodes {
             let child = fleet.spawn(node, nodes, true)?;
             fleet.children.push(Some(child));
@@ -90,6 +107,9 @@
                 at(node, 1),
                 at(node, 2)
             ),
+            self.resources.map_or(String::new(), |Resources { memory_mb, open_files }| {
+                format!("[limits]\nmemoryMb = {memory_mb}\nopenFiles = {open_files}")
+            }),
             "[survive]\nmachineLosses = 1\n".to_owned(),
         ];
         lines.join("\n")
@@ -138,6 +158,26 @@
         std::fs::read_to_string(path).unwrap_or_default()
     }
 
+    /// The process id of a node that was started and not killed.
+    pub fn process_id(&self, node: usize) -> Option<u32> {
+        self.children[node].as_ref().map(Child::id)
+    }
+
+    /// Whether the process of a node has not ended by itself.
+    pub fn is_alive(&mut self, node: usize) -> bool {
+        self.children[node].as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// The address of a node for clients.
+    pub fn front_address(&self, node: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(ip(node), self.port)
+    }
+
+    /// The address of a node for readiness checks.
+    pub fn readiness_address(&self, node: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(ip(node), self.port + 1)
+    }
+
     /// The address of a node's control API.
     pub fn control_address(&self, node: usize) -> SocketAddrV4 {
         SocketAddrV4::new(ip(node), self.port + 2)
@@ -145,8 +185,8 @@
 
     /// Whether a node reports that it is ready.
     pub fn ready(&self, node: usize) -> bool {
-        let address = SocketAddrV4::new(ip(node), self.port + 1);
-        call(address, "GET", "/v1/ready", None, "").is_some_and(|(status, _)| status == 200)
+        call(self.readiness_address(node), "GET", "/v1/ready", None, "")
+            .is_some_and(|(status, _)| status == 200)
     }
 
     fn status(&self, node: usize) -> Option<Value> {
