Share the buffers of a request that its server reads late in place of a copy

A body whose server had not read it yet was held twice: Connection::send copied what the socket didn't take. The rest of a message shares the buffers of the chain now; a buffer goes back to its pool with the last chain that has bytes in it. Only a chain that has a buffer alone writes to it.

Connection::guard gives access to what lives as long as the socket.

--- a/http/src/buffers.rs
+++ b/http/src/buffers.rs
@@ -57,9 +57,10 @@
         if self.is_low() { SIZE } else { MAX_BUFFERED_BODY }
     }
 
-    fn take(&self) -> Box<[u8]> {
+    fn take(&self) -> Buffer {
         self.0.in_use.set(self.0.in_use.get() + 1);
-        self.0.free.borrow_mut().pop().unwrap_or_else(|| vec![0; SIZE].into_boxed_slice())
+        let bytes = self.0.free.borrow_mut().pop().unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
+        Buffer { bytes, pool: self.clone() }
     }
 
     fn put_back(&self, bytes: Box<[u8]>) {
@@ -76,13 +77,45 @@
     }
 }
 
-/// A buffer and the range of it that is in use.
-struct Segment {
+/// A buffer, returned to its pool when it is dropped.
+struct Buffer {
     bytes: Box<[u8]>,
+    pool: Pool,
+}
+
+impl Clone for Buffer {
+    fn clone(&self) -> Self {
+        let mut copy = self.pool.take();
+        copy.bytes.copy_from_slice(&self.bytes);
+        copy
+    }
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        self.pool.put_back(std::mem::take(&mut self.bytes));
+    }
+}
+
+/// A range of a buffer that is in use. Several chains may share a buffer; only one that has it alone writes to it.
+#[derive(Clone)]
+struct Segment {
+    buffer: Rc<Buffer>,
     start: usize,
     end: usize,
 }
 
+impl Segment {
+    fn bytes(&self) -> &[u8] {
+        &self.buffer.bytes[self.start..self.end]
+    }
+
+    /// True if bytes can be appended.
+    fn has_spare_capacity(&self) -> bool {
+        self.end < SIZE && Rc::strong_count(&self.buffer) == 1
+    }
+}
+
 /// A byte queue in a chain of buffers: appended at the back, consumed from the front.
 pub struct Chain {
     pool: Pool,
@@ -103,12 +136,13 @@
 
     /// Free space at the back, at least one byte. Bytes written to it belong to the chain after [`Chain::commit`].
     pub fn spare_capacity(&mut self) -> &mut [u8] {
-        if self.segments.back().is_none_or(|segment| segment.end == SIZE) {
-            self.segments.push_back(Segment { bytes: self.pool.take(), start: 0, end: 0 });
+        if !self.segments.back().is_some_and(Segment::has_spare_capacity) {
+            self.segments.push_back(Segment { buffer: Rc::new(self.pool.take()), start: 0, end: 0 });
         }
         let last = self.segments.len() - 1;
         let segment = &mut self.segments[last];
-        &mut segment.bytes[segment.end..]
+        // Never copies: a buffer with spare capacity isn't shared.
+        &mut Rc::make_mut(&mut segment.buffer).bytes[segment.end..]
     }
 
     /// Adds the first `count` bytes of [`Chain::spare_capacity`] to the chain. An unused buffer is returned to the pool.
@@ -117,10 +151,8 @@
             segment.end += count;
             self.len += count;
         }
-        if self.segments.back().is_some_and(|segment| segment.start == segment.end)
-            && let Some(segment) = self.segments.pop_back()
-        {
-            self.pool.put_back(segment.bytes);
+        if self.segments.back().is_some_and(|segment| segment.start == segment.end) {
+            self.segments.pop_back();
         }
     }
 
@@ -140,6 +172,20 @@
         other.slices().for_each(|slice| self.push(slice));
     }
 
+    /// Appends the bytes of another chain after its first `skip`, without a copy: both chains share the buffers, which are
+    /// returned to the pool when neither has bytes in them.
+    pub fn push_shared(&mut self, other: &Chain, mut skip: usize) {
+        for segment in &other.segments {
+            let skipped = skip.min(segment.end - segment.start);
+            skip -= skipped;
+            let shared = Segment { start: segment.start + skipped, ..segment.clone() };
+            if shared.start < shared.end {
+                self.len += shared.end - shared.start;
+                self.segments.push_back(shared);
+            }
+        }
+    }
+
     /// Drops this many bytes at the front and returns their buffers to the pool.
     pub fn consume(&mut self, mut count: usize) {
         self.len -= count.min(self.len);
@@ -150,9 +196,7 @@
             if segment.start < segment.end {
                 return;
             }
-            if let Some(segment) = self.segments.pop_front() {
-                self.pool.put_back(segment.bytes);
-            }
+            self.segments.pop_front();
         }
     }
 
@@ -169,7 +213,7 @@
 
     /// The bytes as one slice per buffer.
     pub fn slices(&self) -> impl Iterator<Item = &[u8]> {
-        self.segments.iter().map(|segment| &segment.bytes[segment.start..segment.end])
+        self.segments.iter().map(Segment::bytes)
     }
 
     /// The bytes one by one.
@@ -201,13 +245,5 @@
     }
 }
 
-impl Drop for Chain {
-    fn drop(&mut self) {
-        for segment in self.segments.drain(..) {
-            self.pool.put_back(segment.bytes);
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/http/src/buffers/tests.rs
+++ b/http/src/buffers/tests.rs
@@ -34,3 +34,24 @@
     chain.consume(SIZE);
     assert!(!pool.is_low());
 }
+
+/// Guards against a message that is held twice because its rest was copied to be sent later, and against a shared buffer that
+/// one of its chains changes or returns to the pool while the other still has bytes in it.
+#[test]
+fn chains_that_share_buffers_keep_their_own_bytes() {
+    let pool = Pool::default();
+    let message: Vec<u8> = (0..2 * SIZE + 100).map(|i| (i % 251) as u8).collect();
+    let (mut original, mut shared) = (pool.chain(), pool.chain());
+    original.push(&message);
+    shared.push_shared(&original, SIZE + 10);
+    assert_eq!(pool.0.in_use.get(), 3, "nothing was copied");
+    assert_eq!(shared.copy_front(usize::MAX), message[SIZE + 10..]);
+    shared.push(b"more");
+    original.push(b"other");
+    assert_eq!(shared.copy_front(usize::MAX), [&message[SIZE + 10..], b"more"].concat());
+    assert_eq!(original.copy_front(usize::MAX), [&message[..], b"other"].concat());
+    drop(original);
+    assert_eq!(shared.copy_front(usize::MAX), [&message[SIZE + 10..], b"more"].concat());
+    shared.consume(shared.len());
+    assert_eq!(pool.0.in_use.get(), 0);
+}
--- a/http/src/connection.rs
+++ b/http/src/connection.rs
@@ -31,7 +31,7 @@
     write_failed: bool,
     max_head: usize,
     max_body: u64,
-    _guard: G,
+    guard: G,
 }
 
 /// Time for the peer to close the connection after a last response.
@@ -61,7 +61,7 @@
             write_failed: false,
             max_head: MAX_HEAD_BYTES,
             max_body: MAX_BODY_BYTES,
-            _guard: guard,
+            guard,
         }
     }
 
@@ -77,6 +77,11 @@
         (self.max_head, self.max_body) = (head, body);
     }
 
+    /// The guard of the connection.
+    pub fn guard(&self) -> &G {
+        &self.guard
+    }
+
     /// Creates the reader of a body with this framing, within this connection's limit.
     ///
     /// # Errors
@@ -138,14 +143,16 @@
     }
 
     /// Sends a message: writes what the socket accepts at once, and the rest during later reads. The peer may respond
-    /// before it has read everything; an error is reported when its response is read.
+    /// before it has read everything; an error is reported when its response is read. The rest shares the buffers of the
+    /// chains.
     pub fn send(&mut self, chains: &[&Chain]) {
-        let written = match self.write_buffer.is_empty() {
+        let mut written = match self.write_buffer.is_empty() {
             true => write_now(&self.stream, chains, &mut self.write_failed),
             false => 0,
         };
-        for slice in slices_after(chains, written) {
-            self.write_buffer.push(&slice);
+        for chain in chains {
+            self.write_buffer.push_shared(chain, written);
+            written = written.saturating_sub(chain.len());
         }
     }
 
