Bound chunk extensions, and let other tasks run beside a fast sender

Chunk extensions belong to no byte of a body, so the limit of its length didn't bound them: a client could have them read for the whole 10 s of a body. They may be as long as the chunks and 64 KiB now; signatures of 85 bytes with chunks of 4 KiB pass, beyond that the answer is 400 ("chunk extensions are too long").

A connection whose bytes were always there was read without a pause, and nothing else ran on the thread meanwhile: each read takes from tokio's budget of the task now. That the thread starves without was seen by reading only.

--- a/http/src/body/tests.rs
+++ b/http/src/body/tests.rs
@@ -66,3 +66,27 @@
     };
     assert!(matches!(error, ReadError::BodyTooLong) && passed == MAX_BODY_BYTES);
 }
+
+/// Guards against chunk extensions without an end, which belong to no byte of a body, and against rejecting those of an
+/// ordinary length, such as the signature of each chunk.
+#[test]
+fn chunk_extensions_may_be_as_long_as_the_chunks_and_little_longer() {
+    let cases = [("signatures", 4096, 85, true), ("bytes with long extensions", 1, 1000, false)];
+    for (case, chunk_bytes, extension_bytes, accepted) in cases {
+        let pool = Pool::default();
+        let (mut input, mut to) = (pool.chain(), pool.chain());
+        let mut body = Body::new(Framing::Chunked).expect("no length");
+        let extension = "e".repeat(extension_bytes);
+        let taken = (0..1000).try_for_each(|_| {
+            input.push(format!("{chunk_bytes:x};{extension}\r\n{}\r\n", "x".repeat(chunk_bytes)).as_bytes());
+            body.take(&mut input, &mut to, usize::MAX).map(|_| ())
+        });
+        match taken {
+            Ok(()) => assert!(accepted, "{case}"),
+            Err(error) => {
+                assert!(!accepted, "{case}: {error}");
+                assert_eq!(error.to_string(), "chunk extensions are too long");
+            }
+        }
+    }
+}
--- a/http/src/connection.rs
+++ b/http/src/connection.rs
@@ -11,6 +11,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
+use tokio::task::coop::consume_budget;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::buffers::{Chain, Pool};
@@ -109,6 +110,8 @@
     ///
     /// The error of the socket, also a reset that was reported to an earlier write.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        // A peer that sends as fast as this task reads would otherwise keep all other tasks of the thread from running.
+        consume_budget().await;
         loop {
             if self.write_buffer.is_empty() {
                 self.stream.readable().await?;
--- a/http/src/error.rs
+++ b/http/src/error.rs
@@ -62,6 +62,9 @@
     /// A line of the chunked coding that is longer than the limit.
     #[snafu(display("a line is too long"))]
     LineTooLong,
+    /// More bytes of chunk extensions than a body may have.
+    #[snafu(display("chunk extensions are too long"))]
+    ExtensionsTooLong,
     /// More trailer fields than a body may have.
     #[snafu(display("too many trailers"))]
     TooManyTrailers,
--- a/http/src/framing.rs
+++ b/http/src/framing.rs
@@ -16,6 +16,9 @@
 
 /// The longest size line or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 1024;
+/// The most bytes of chunk extensions of one body beyond those of its chunks: the limit of the body's length doesn't bound
+/// them.
+const MAX_EXCESS_EXTENSION_BYTES: u64 = 64 * 1024;
 /// The largest number of trailer fields.
 const MAX_TRAILERS: usize = 32;
 
@@ -23,6 +26,10 @@
 pub struct ChunkedDecoder {
     state: ChunkState,
     trailers: usize,
+    /// Bytes of chunk extensions that were ignored.
+    extension_bytes: u64,
+    /// The sum of the sizes of all chunks so far, in bytes.
+    chunk_bytes: u64,
     /// The longest chunk, in bytes.
     limit: u64,
 }
@@ -51,7 +58,7 @@
 
     /// Creates a decoder for a new body in chunks of at most `limit` bytes.
     pub fn with_limit(limit: u64) -> Self {
-        ChunkedDecoder { state: ChunkState::Size, trailers: 0, limit }
+        ChunkedDecoder { state: ChunkState::Size, trailers: 0, extension_bytes: 0, chunk_bytes: 0, limit }
     }
 
     /// Moves decoded bytes from `input` to `body` until `body` has `max_length` bytes or `input` has no more of them; true
@@ -100,15 +107,24 @@
         }
     }
 
-    /// Parses the size in a size line; chunk extensions after it are ignored.
-    fn chunk_size(&self, line: &[u8]) -> Result<u64, ReadError> {
-        let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii();
+    /// Parses the size in a size line; chunk extensions after it are counted and ignored.
+    fn chunk_size(&mut self, line: &[u8]) -> Result<u64, ReadError> {
+        let digits = line.split(|b| *b == b';').next().unwrap_or_default();
+        self.extension_bytes += (line.len() - digits.len()) as u64;
+        let digits = digits.trim_ascii();
         let valid = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
         let text = std::str::from_utf8(digits).ok().filter(|_| valid);
         let text = text.ok_or(MalformedMessage::InvalidChunkSize)?;
         // A number that doesn't fit a u64 is well-formed: the chunk is too long.
         let size = u64::from_str_radix(text, 16).map_err(|_| ReadError::BodyTooLong)?;
-        if size > self.limit { Err(ReadError::BodyTooLong) } else { Ok(size) }
+        if size > self.limit {
+            return Err(ReadError::BodyTooLong);
+        }
+        self.chunk_bytes = self.chunk_bytes.saturating_add(size);
+        if self.extension_bytes > self.chunk_bytes.saturating_add(MAX_EXCESS_EXTENSION_BYTES) {
+            return Err(MalformedMessage::ExtensionsTooLong.into());
+        }
+        Ok(size)
     }
 }
 
