Bound what clients of the front and the readiness address occupy

Callers saw: with many long or many open requests at once the process ends by its memory, and all its connections break off; with more connections than openFiles nobody is accepted.

Cause: each connection reads up to maxBodyBytes, and nothing bounds the sum; memoryMb was read and not used, openFiles only for idle connections to servers.

Fix: the new package gradepaddle-resources divides memoryMb and openFiles among all places that hold something for others. A connection gets a permit, a request reserves what it may need until its response has been written: heads, an announced body before "100 Continue", a chunked one in steps of 64 KiB. What can't be reserved is refused with 503 and Retry-After, unread, since it has not been processed. Before that, connections that wait for their client make room, the one that has waited longest first: idle ones after 250 ms, those amid a request after 1 s. So ordinary callers get in beside a crowd that stays open. Sockets have buffers of 16 KiB, so that unread bytes are bounded too; the backlog follows from the memory. Why it works: everything is reserved before it is occupied, and the sum of all bounds is below the memory (resources/tests/plan.rs).

Related: a body beyond the limit gets 413 before "100 Continue" now. Idle connections to servers have an eighth of the descriptors in place of a quarter: 475 of 4,100, the limit that tests of the pool state directly now; that it fits openFiles with all else is tested in resources/.

--- a/dataplane/src/data_plane.rs
+++ b/dataplane/src/data_plane.rs
@@ -10,6 +10,7 @@
 use gradepaddle_config::{Configuration, ServiceKind};
 use gradepaddle_http::buffers::Pool;
 use gradepaddle_placement::{Micros, Placer};
+use gradepaddle_resources::{ClientLimiter, ResourcePlan};
 use slog::{Logger, info};
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
@@ -28,8 +29,8 @@
     pub placer: Placer,
     /// The failure domain of this node.
     pub zone: Arc<str>,
-    /// How many file descriptors the process may open (`openFiles`).
-    pub open_files: u64,
+    /// The division of the process's memory and descriptors.
+    pub resources: ResourcePlan,
     /// The logger.
     pub log: Logger,
 }
@@ -42,7 +43,11 @@
     pub counters: Counters,
     pub(crate) pool: Pool,
     pub(crate) upstreams: UpstreamPool,
-    open_files: u64,
+    /// Limits the clients of the front.
+    pub(crate) clients: ClientLimiter,
+    /// Limits the callers of the readiness address.
+    pub(crate) readiness_clients: ClientLimiter,
+    max_idle_upstreams: usize,
     /// The number of nodes, this one included.
     node_count: Cell<usize>,
     pub(crate) log: Logger,
@@ -65,15 +70,25 @@
     control_connected: Cell<bool>,
 }
 
+/// The limit of a pool in which responses are forwarded in small parts from this many bytes on: three quarters of the limit.
+fn pool_limit(response_bytes: usize) -> usize {
+    response_bytes / 3 * 4
+}
+
 impl DataPlane {
     /// Creates a data plane without a configuration, which is not ready.
     pub fn new(setup: Setup) -> Rc<Self> {
+        let resources = setup.resources;
+        let pool = Pool::default();
+        pool.set_limit(pool_limit(resources.response_bytes));
         Rc::new(DataPlane {
             placer: RefCell::new(setup.placer),
             counters: Counters::default(),
-            pool: Pool::default(),
-            upstreams: UpstreamPool::new(IdleLimits::new(setup.open_files, 1, std::iter::empty())),
-            open_files: setup.open_files,
+            pool,
+            upstreams: UpstreamPool::new(IdleLimits::new(resources.idle_upstreams, 1, std::iter::empty())),
+            clients: ClientLimiter::new(resources.front.clients),
+            readiness_clients: ClientLimiter::new(resources.readiness.clients),
+            max_idle_upstreams: resources.idle_upstreams,
             node_count: Cell::new(1),
             log: setup.log,
             lifecycle: Lifecycle::new(),
@@ -149,7 +164,11 @@
             ServiceKind::Servers { max_connections, .. } => *max_connections,
             ServiceKind::Store { .. } => None,
         });
-        self.upstreams.set_limits(IdleLimits::new(self.open_files, self.node_count.get(), max_connections));
+        self.upstreams.set_limits(IdleLimits::new(
+            self.max_idle_upstreams,
+            self.node_count.get(),
+            max_connections,
+        ));
     }
 
     /// The hash of the set of isolated tenants. It is part of the cache salt of all other tenants, so that they reuse no
@@ -227,6 +246,16 @@
         self.upstreams.close_idle(server);
     }
 
+    /// The limiter of the front.
+    pub fn clients(&self) -> &ClientLimiter {
+        &self.clients
+    }
+
+    /// The limiter of the readiness address.
+    pub fn readiness_clients(&self) -> &ClientLimiter {
+        &self.readiness_clients
+    }
+
     /// Counters of the load reports that nodes send each other.
     pub fn load_report_counters(&self) -> &LoadReportCounters {
         &self.load_reports.counters
--- a/dataplane/src/lib.rs
+++ b/dataplane/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! | step | module | what it decides |
 //! | --- | --- | --- |
-//! | 1 | `client_connection` ([`serve_clients`]) | accepts, reads the request within the limits, writes after the response |
+//! | 1 | `client_connection` ([`serve_clients`]), `request_reader` | accepts, reads the request within the limits and the resources of the node, writes after the response |
 //! | 2 | `admission` | whether a request may be processed now: draining, configuration, key validity |
 //! | 3 | `routing` | route, tenant, service, priority, deadline, prompt |
 //! | 4 | `proxy`, `proxied_request` | attempts until one yields a response; the node's own response if none does |
@@ -39,6 +39,7 @@
 mod proxied_request;
 mod proxy;
 mod readiness;
+mod request_reader;
 mod response_forwarding;
 mod retry;
 mod routing;
--- a/dataplane/src/readiness.rs
+++ b/dataplane/src/readiness.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use gradepaddle_http::{Connection, Framing};
+use gradepaddle_http::{Connection, Framing, Head};
+use gradepaddle_resources::{ConnectionPermit, WaitKind};
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
@@ -19,7 +20,9 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let connection = Connection::new(stream, &plane.pool, ());
+                // Without a permit the connection is closed. Whoever asks will ask again.
+                let Ok(permit) = plane.readiness_clients.admit().await else { continue };
+                let connection = Connection::new(stream, &plane.pool, permit);
                 tokio::task::spawn_local(serve(plane.clone(), connection));
             }
             Err(_) => sleep(ACCEPT_PAUSE).await,
@@ -28,8 +31,8 @@
 }
 
 /// Serves a connection until it is closed.
-async fn serve(plane: Rc<DataPlane>, mut connection: Connection) {
-    while let Ok(Ok(head)) = timeout(IDLE_TIMEOUT, connection.read_head()).await {
+async fn serve(plane: Rc<DataPlane>, mut connection: Connection<ConnectionPermit>) {
+    while let Some(head) = next_request(&mut connection).await {
         // A readiness check has no body. After a request with one, the connection is closed, since the body is not read.
         let has_no_body = head.framing(Framing::Length(0)) == Ok(Framing::Length(0));
         let status = match (head.path(), plane.is_ready()) {
@@ -44,3 +47,13 @@
         }
     }
 }
+
+/// Reads the next request; none if the connection is closed, invalid, idle for too long, or needed for another caller.
+async fn next_request(connection: &mut Connection<ConnectionPermit>) -> Option<Head> {
+    let entry = connection.guard().wait(WaitKind::Idle);
+    tokio::select! {
+        biased;
+        head = timeout(IDLE_TIMEOUT, connection.read_head()) => head.ok()?.ok(),
+        () = entry.evicted() => None,
+    }
+}
--- a/dataplane/src/upstream_pool.rs
+++ b/dataplane/src/upstream_pool.rs
@@ -10,6 +10,7 @@
 use gradepaddle_http::buffers::Pool;
 use gradepaddle_http::idle_reuse::IdleReuse;
 use gradepaddle_http::{Connection, Head};
+use gradepaddle_resources::SocketBuffers;
 use tokio::net::TcpSocket;
 use tokio::time::{Instant, timeout};
 
@@ -22,10 +23,6 @@
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 /// Maximum number of idle connections kept for each server.
 const MAX_IDLE_PER_SERVER: usize = 16;
-/// File descriptors of a process that the platform reserves for files outside its disk folder (`DEPLOY.md`).
-const RESERVED_DESCRIPTORS: u64 = 200;
-/// One in this many of the remaining file descriptors may be used for an idle connection to a server.
-const IDLE_DESCRIPTOR_SHARE: u64 = 4;
 /// One in this many of the connections that a server accepts may be idle, summed over all nodes.
 const IDLE_CONNECTION_SHARE: usize = 2;
 
@@ -39,14 +36,13 @@
 }
 
 impl IdleLimits {
-    /// The limits of one of `nodes` nodes, which may open `open_files` file descriptors. `max_connections` holds, for each
+    /// The limits of one of `nodes` nodes, which may keep `total` idle connections. `max_connections` holds, for each
     /// service, how many connections one of its servers accepts from all nodes together; 0 for a service without a limit.
-    pub fn new(open_files: u64, nodes: usize, max_connections: impl Iterator<Item = u32>) -> Self {
+    pub fn new(total: usize, nodes: usize, max_connections: impl Iterator<Item = u32>) -> Self {
         let lowest = max_connections.filter(|limit| *limit > 0).min();
         let share =
             lowest.map_or(MAX_IDLE_PER_SERVER, |limit| limit as usize / IDLE_CONNECTION_SHARE / nodes.max(1));
-        let total = open_files.saturating_sub(RESERVED_DESCRIPTORS) / IDLE_DESCRIPTOR_SHARE;
-        IdleLimits { per_server: share.clamp(1, MAX_IDLE_PER_SERVER), total: total as usize }
+        IdleLimits { per_server: share.clamp(1, MAX_IDLE_PER_SERVER), total }
     }
 }
 
@@ -115,6 +111,8 @@
             return Some(pooled);
         }
         let socket = TcpSocket::new_v4().ok()?;
+        // Without this the kernel may hold more of a response that its client reads slowly; it is served nevertheless.
+        let _ = socket.set_recv_buffer_size(SocketBuffers::DEFAULT.size as u32);
         let stream = timeout(CONNECT_TIMEOUT, socket.connect(address.into())).await.ok()?.ok()?;
         Some(PooledConnection { connection: Connection::new(stream, pool, ()), idle: None })
     }
--- a/dataplane/src/upstream_pool/tests.rs
+++ b/dataplane/src/upstream_pool/tests.rs
@@ -53,7 +53,7 @@
 #[tokio::test]
 async fn idle_connections_stay_within_this_nodes_share() {
     // A server accepts 1,900 connections from 300 nodes; at most half of them may be idle.
-    let limits = IdleLimits::new(4_100, 300, [1_900, 0].into_iter());
+    let limits = IdleLimits::new(475, 300, [1_900, 0].into_iter());
     expect_that!(limits.per_server, eq(3));
     expect_that!(limits.per_server * 300, le(1_900 / 2));
     expect_that!(release_connections(&UpstreamPool::new(limits), 2, 9).await, eq(6));
@@ -62,14 +62,14 @@
 #[gtest]
 #[tokio::test]
 async fn idle_connections_stay_within_the_descriptor_budget() {
-    let limits = IdleLimits::new(280, 1, std::iter::empty());
+    let limits = IdleLimits::new(20, 1, std::iter::empty());
     expect_that!(limits.total, eq(20));
     expect_that!(release_connections(&UpstreamPool::new(limits), 10, 5).await, eq(20));
 }
 
 #[gtest]
 fn a_node_of_a_small_fleet_keeps_the_maximum_and_one_of_a_large_fleet_at_least_one() {
-    let per_server = |nodes, limit| IdleLimits::new(4_100, nodes, [limit].into_iter()).per_server;
+    let per_server = |nodes, limit| IdleLimits::new(475, nodes, [limit].into_iter()).per_server;
     expect_that!(per_server(9, 310), eq(MAX_IDLE_PER_SERVER));
     expect_that!(per_server(9, 0), eq(MAX_IDLE_PER_SERVER), "the service has no limit");
     expect_that!(per_server(1_000, 310), eq(1));
--- a/dataplane/tests/common/harness.rs
+++ b/dataplane/tests/common/harness.rs
@@ -6,6 +6,7 @@
 
 use gradepaddle_dataplane::{DataPlane, Setup, serve_clients, serve_readiness};
 use gradepaddle_placement::{Micros, ModelVersion, PlacementConfig, Placer, ServerEntry, ServerState};
+use gradepaddle_resources::ResourcePlan;
 use serde_json::Value;
 use slog::{Discard, Logger, o};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -77,7 +78,7 @@
             .start_margin(options.start_margin)
             .build();
         let plane = DataPlane::new(Setup {
-            open_files: 4_100,
+            resources: ResourcePlan::new(260, 4_100),
             placer: Placer::new(config),
             zone: "".into(),
             log: Logger::root(Discard, o!()),
--- a/dataplane/tests/golden.rs
+++ b/dataplane/tests/golden.rs
@@ -16,6 +16,7 @@
 use gradepaddle_dataplane::load_reports::recipients::Peer;
 use gradepaddle_dataplane::{DataPlane, ForwardedReport, KeyValidity, Phase, Setup, send_load_reports};
 use gradepaddle_placement::{PlacementConfig, Placer, ServerState};
+use gradepaddle_resources::ResourcePlan;
 use serde_json::{Value, json};
 use slog::{Discard, Logger, o};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -519,7 +520,7 @@
 #[gtest]
 fn load_reports_that_a_node_forwards() {
     let plane = DataPlane::new(Setup {
-        open_files: 4_100,
+        resources: ResourcePlan::new(260, 4_100),
         placer: Placer::new(PlacementConfig::builder().build()),
         zone: "zone-0".into(),
         log: Logger::root(Discard, o!()),
--- a/dataplane/tests/load_reports.rs
+++ b/dataplane/tests/load_reports.rs
@@ -12,6 +12,7 @@
 use gradepaddle_dataplane::{DataPlane, ForwardedReport, Setup, should_report_health};
 use gradepaddle_placement::{PlacementConfig, Placer};
 use gradepaddle_proto::{CachedPrefix, Encode, PeerLoadReport, PromptChunk, ServerLoad};
+use gradepaddle_resources::ResourcePlan;
 use slog::{Discard, Logger, o};
 
 const SECOND: u64 = 1_000_000;
@@ -135,7 +136,7 @@
 /// A data plane in zone 0 of a fleet of ten nodes in two zones, itself node 0.
 fn plane() -> std::rc::Rc<DataPlane> {
     let plane = DataPlane::new(Setup {
-        open_files: 4_100,
+        resources: ResourcePlan::new(260, 4_100),
         placer: Placer::new(PlacementConfig::builder().build()),
         zone: zone(0, 2),
         log: Logger::root(Discard, o!()),
--- a/system/src/listeners.rs
+++ b/system/src/listeners.rs
@@ -4,13 +4,14 @@
 use std::rc::Rc;
 
 use gradepaddle_config::Settings;
+use gradepaddle_resources::{ListenerPlan, ResourcePlan, SocketBuffers};
 use snafu::{OptionExt, ResultExt};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 
 use crate::error::{CommandError, ListenSnafu, NoAddressSnafu};
 
-/// Maximum number of connections that wait to be accepted, the backlog of `listen(2)`.
-const BACKLOG: u32 = 1024;
+/// Maximum number of connections of other nodes that wait to be accepted, the backlog of `listen(2)`.
+const PEER_BACKLOG: u32 = 1024;
 
 /// The sockets that a node listens on.
 pub struct Listeners {
@@ -32,25 +33,51 @@
     /// # Errors
     ///
     /// [`CommandError::NoAddress`] if the settings lack an address, [`CommandError::Listen`] if one is in use.
-    pub fn open(settings: &Settings) -> Result<Self, CommandError> {
+    pub fn open(settings: &Settings, resources: &ResourcePlan) -> Result<Self, CommandError> {
         let listen = &settings.listen;
         Ok(Listeners {
-            front: open_tcp(listen.front, "front")?,
-            readiness: open_tcp(listen.readiness, "readiness")?,
-            control: open_tcp(listen.control, "controlPlane")?,
-            peers: open_tcp(Some(peer_address(settings)), "internalPorts")?,
+            front: open_for_clients(listen.front, "front", &resources.front)?,
+            readiness: open_for_clients(listen.readiness, "readiness", &resources.readiness)?,
+            control: open_for_clients(listen.control, "controlPlane", &resources.control)?,
+            peers: open_for_peers(peer_address(settings))?,
             load_reports: Rc::new(open_udp(peer_address(settings))?),
         })
     }
 }
 
-fn open_tcp(address: Option<SocketAddrV4>, name: &'static str) -> Result<TcpListener, CommandError> {
+/// Listens at an address for clients, within the bounds of the plan.
+fn open_for_clients(
+    address: Option<SocketAddrV4>,
+    name: &'static str,
+    plan: &ListenerPlan,
+) -> Result<TcpListener, CommandError> {
     let address = address.context(NoAddressSnafu { name })?;
     let listen = || {
         let socket = TcpSocket::new_v4()?;
-        socket.set_reuseaddr(true)?;
-        socket.bind(address.into())?;
-        socket.listen(BACKLOG)
+        limit_buffers(&socket, plan.buffers);
+        bind(&socket, address)?;
+        socket.listen(plan.backlog)
+    };
+    listen().context(ListenSnafu { address })
+}
+
+/// Limits what the kernel holds for each connection that the socket will accept.
+fn limit_buffers(socket: &TcpSocket, buffers: SocketBuffers) {
+    // A platform that refuses this has its own limits, which are not known here.
+    let _ = socket.set_recv_buffer_size(buffers.size as u32);
+    let _ = socket.set_send_buffer_size(buffers.size as u32);
+}
+
+fn bind(socket: &TcpSocket, address: SocketAddrV4) -> std::io::Result<()> {
+    socket.set_reuseaddr(true)?;
+    socket.bind(address.into())
+}
+
+fn open_for_peers(address: SocketAddrV4) -> Result<TcpListener, CommandError> {
+    let listen = || {
+        let socket = TcpSocket::new_v4()?;
+        bind(&socket, address)?;
+        socket.listen(PEER_BACKLOG)
     };
     listen().context(ListenSnafu { address })
 }
--- a/system/src/planes.rs
+++ b/system/src/planes.rs
@@ -14,6 +14,7 @@
 use gradepaddle_gossip::{Gossip, GossipConfig};
 use gradepaddle_placement::{PlacementConfig, Placer};
 use gradepaddle_proto::Identity;
+use gradepaddle_resources::ResourcePlan;
 use slog::Logger;
 
 use crate::listeners::{peer_address, seed_addresses};
@@ -27,7 +28,7 @@
 }
 
 /// Builds the data plane.
-pub fn data_plane(settings: &Settings, log: &Logger) -> Rc<DataPlane> {
+pub fn data_plane(settings: &Settings, resources: ResourcePlan, log: &Logger) -> Rc<DataPlane> {
     let bounds = &settings.bounds;
     let config = PlacementConfig::builder()
         .own_zone(&*settings.zone)
@@ -39,7 +40,7 @@
     DataPlane::new(Setup {
         placer: Placer::new(config),
         zone: Arc::from(&*settings.zone),
-        open_files: settings.limits.open_files,
+        resources,
         log: log.clone(),
     })
 }
--- a/system/src/run.rs
+++ b/system/src/run.rs
@@ -16,6 +16,7 @@
 use gradepaddle_dataplane::{
     DataPlane, receive_load_reports, send_load_reports, serve_clients, serve_readiness,
 };
+use gradepaddle_resources::ResourcePlan;
 use slog::{Logger, info, warn};
 use snafu::{OptionExt, ResultExt};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -52,10 +53,11 @@
 /// Starts all tasks of the node, and serves until SIGTERM.
 async fn serve(file: PathBuf, settings: Settings, log: Logger) -> Result<(), CommandError> {
     let mut signals = Signals::new()?;
-    let listeners = Listeners::open(&settings)?;
+    let resources = ResourcePlan::new(settings.limits.memory_mb, settings.limits.open_files);
+    let listeners = Listeners::open(&settings, &resources)?;
     let started = Instant::now();
     let (events, event_receiver) = mpsc::unbounded_channel();
-    let plane = planes::data_plane(&settings, &log);
+    let plane = planes::data_plane(&settings, resources, &log);
     let clock = Clock::new(started);
     let effects = Rc::new(NodeEffects {
         plane: plane.clone(),
--- a/system/src/shutdown/tests.rs
+++ b/system/src/shutdown/tests.rs
@@ -5,6 +5,7 @@
 use gradepaddle_config::Settings;
 use gradepaddle_controlplane::driver::DriverEvent;
 use gradepaddle_controlplane::node::Input;
+use gradepaddle_resources::ResourcePlan;
 use slog::{Discard, Logger, o};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep};
@@ -23,7 +24,7 @@
 /// Duration of a shutdown whose control state is handed over after this time, or never if `None`.
 async fn shutdown_with_hand_over(after: Option<Duration>) -> Duration {
     let settings = settings();
-    let plane = planes::data_plane(&settings, &Logger::root(Discard, o!()));
+    let plane = planes::data_plane(&settings, ResourcePlan::new(260, 4_100), &Logger::root(Discard, o!()));
     let (events, mut receiver) = mpsc::unbounded_channel();
     let ready_to_exit = Rc::new(Notify::new());
     let handed_over = Rc::clone(&ready_to_exit);
