Bound what callers of the control address occupy

Callers saw: a process ends by its memory while calls with long bodies come in, stop short of their end, or ask for a long configuration that nobody reads; with more connections than openFiles no heartbeat and no operator is heard.

A body was held three times beside, and each response that its caller didn't read as a copy.

Fix: the limiter of gradepaddle-resources at this address: permits for connections, memory for a call before its body is read and before a long response is written; 503 for what can't be reserved, 413 for what would never fit. A call of up to 8 KiB needs no more than what each call has, so heartbeats pass where long bodies don't.

--- a/controlplane/tests/golden.rs
+++ b/controlplane/tests/golden.rs
@@ -32,6 +32,7 @@
 use gradepaddle_proto::{
     Content, ControlCall, Encode, Envelope, ModelVersion, Registration, SessionHeartbeatReply, ViewSummary,
 };
+use gradepaddle_resources::{ClientLimiter, ResourcePlan};
 use lone_node::{LoneNode, address, identity};
 use simulation::{MS, Plan, SECOND, World};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -44,6 +45,11 @@
 /// The id of the calls of these tests; no other call id is as high.
 const CALL_ID: CallId = CallId(1 << 40);
 
+/// The limiter of the control address of a machine of the sites.
+fn control_clients() -> ClientLimiter {
+    ClientLimiter::new(ResourcePlan::new(260, 4_100).control.clients)
+}
+
 /// Decides calls that come over HTTP; `None` if there is no response.
 type Decide = Box<dyn FnMut(Call) -> Option<Response>>;
 
@@ -56,7 +62,7 @@
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let address = listener.local_addr()?;
     let (driver, mut events) = mpsc::unbounded_channel();
-    tokio::task::spawn_local(serve_api(listener, driver, Clock::new(Instant::now())));
+    tokio::task::spawn_local(serve_api(listener, driver, Clock::new(Instant::now()), control_clients()));
     tokio::task::spawn_local(async move {
         while let Some(event) = events.recv().await {
             let DriverEvent::Call(call, reply) = event else { continue };
--- a/controlplane/tests/leases.rs
+++ b/controlplane/tests/leases.rs
@@ -21,6 +21,7 @@
 use gradepaddle_gossip::{AgedItem, Message, Stamp};
 use gradepaddle_http::buffers::Pool;
 use gradepaddle_proto::{Content, ControlCall, Envelope, ForwardedCall, ForwardedReply};
+use gradepaddle_resources::{ClientLimiter, ResourcePlan};
 use simulation::operator::body;
 use simulation::{MS, Plan, SECOND, World};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -30,6 +31,11 @@
 
 /// The id of the calls of these tests; no other call id is as high.
 const CALL_ID: CallId = CallId(1 << 40);
+
+/// The limiter of the control address of a machine of the sites.
+fn control_clients() -> ClientLimiter {
+    ClientLimiter::new(ResourcePlan::new(260, 4_100).control.clients)
+}
 /// The maximum duration of a lease.
 const LEASE: Micros = 1_500 * MS;
 
@@ -317,7 +323,7 @@
         for (valid_until, status) in rows {
             let (listener, address) = listen().await?;
             let (driver, mut calls) = mpsc::unbounded_channel();
-            let served = serve_api(listener, driver, Clock::new(Instant::now()));
+            let served = serve_api(listener, driver, Clock::new(Instant::now()), control_clients());
             let served = tokio::task::spawn_local(served);
             let mut caller = TcpStream::connect(address).await.or_fail()?;
             let request = b"GET /v1/config HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
--- a/system/src/run.rs
+++ b/system/src/run.rs
@@ -16,7 +16,7 @@
 use gradepaddle_dataplane::{
     DataPlane, receive_load_reports, send_load_reports, serve_clients, serve_readiness,
 };
-use gradepaddle_resources::ResourcePlan;
+use gradepaddle_resources::{ClientLimiter, ResourcePlan};
 use slog::{Logger, info, warn};
 use snafu::{OptionExt, ResultExt};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -57,6 +57,7 @@
     let listeners = Listeners::open(&settings, &resources)?;
     let started = Instant::now();
     let (events, event_receiver) = mpsc::unbounded_channel();
+    let callers = ClientLimiter::new(resources.control.clients);
     let plane = planes::data_plane(&settings, resources, &log);
     let clock = Clock::new(started);
     let effects = Rc::new(NodeEffects {
@@ -87,7 +88,7 @@
         clock,
     ));
     tokio::task::spawn_local(serve_peers(listeners.peers, inbox));
-    tokio::task::spawn_local(serve_api(listeners.control, events.clone(), clock));
+    tokio::task::spawn_local(serve_api(listeners.control, events.clone(), clock, callers.clone()));
     tokio::task::spawn_local(serve_readiness(plane.clone(), listeners.readiness));
     tokio::task::spawn_local(serve_clients(plane.clone(), listeners.front));
     tokio::task::spawn_local(sweep(plane.clone()));
