Bound the values of a configuration and the findings that are displayed

Seen: a body of 5 MiB at the control address took a process from 10 to 199 MB: of lists like "{},{},..." and of repeated fields each 3 to 6 bytes become a struct, a name or a finding with its path; the findings of 800,000 repeated fields were written into one response.

A body may have 400,000 values now (5 MiB of routes have some 260,000); beyond that it is rejected like one that can't be read. 1,000 findings are displayed, and the others counted. Test: six such bodies, each put and patched, at a machine of the sites.

--- a/config/src/configuration/duplicate_field.rs
+++ b/config/src/configuration/duplicate_field.rs
@@ -1,20 +1,24 @@
-//! Finds duplicate fields of objects, also in parts of a body that are otherwise ignored.
+//! Finds duplicate fields of objects, also in parts of a body that are otherwise ignored, and bodies with too many values.
 //!
 //! JSON parsers differ in which of two fields with the same name they use (RFC 8259, section 4), so two processes could act
 //! differently on the same body.
 
 use crate::finding::{Finding, Findings, Problem, WHOLE_DOCUMENT};
 use foldhash::{HashSet, HashSetExt};
-use serde::de::{DeserializeSeed, MapAccess, SeqAccess, Visitor};
+use serde::de::{DeserializeSeed, Error, MapAccess, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
 use std::borrow::Cow;
 use std::fmt::{self, Formatter, Write};
 
-/// Checks the syntax of a body and that no object in it has two fields with the same name.
+/// The most values of a body: items of lists, fields, and the body itself. Many small values are parsed into far more memory
+/// than the body has; a body of 5 MiB with routes has 260,000.
+const MAX_VALUES: usize = 400_000;
+
+/// Checks the syntax of a body, its number of values, and that no object in it has two fields with the same name.
 ///
 /// # Errors
 ///
-/// [`Problem::Unreadable`] if the body isn't JSON; otherwise a [`Problem::DuplicateField`] for each repetition.
+/// [`Problem::Unreadable`] if the body isn't JSON or has too many values; otherwise a [`Problem::DuplicateField`] for each repetition.
 pub(crate) fn check(body: &[u8]) -> Result<(), Findings> {
     let mut visitor = DuplicateFieldVisitor::default();
     let mut deserializer = serde_json::Deserializer::from_slice(body);
@@ -31,6 +35,8 @@
     /// Path of the current value.
     path: String,
     findings: Vec<Finding>,
+    /// The number of values so far.
+    values: usize,
 }
 
 /// Name of a field, borrowed from the body unless it contains escapes.
@@ -54,6 +60,10 @@
     type Value = ();
 
     fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<(), D::Error> {
+        self.values += 1;
+        if self.values > MAX_VALUES {
+            return Err(D::Error::custom(format_args!("more than {MAX_VALUES} values")));
+        }
         deserializer.deserialize_any(self)
     }
 }
--- a/config/src/finding.rs
+++ b/config/src/finding.rs
@@ -3,6 +3,9 @@
 use snafu::Snafu;
 use std::fmt::{self, Display, Formatter};
 
+/// The most findings that are displayed; the others are counted.
+const MAX_DISPLAYED: usize = 1_000;
+
 /// Path of a finding that concerns the complete document.
 pub const WHOLE_DOCUMENT: &str = "whole text";
 
@@ -117,7 +120,7 @@
     }
 }
 
-/// All findings of a document, at least one. Displayed with one line per finding.
+/// All findings of a document, at least one. Displayed with one line per finding, up to 1,000 of them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Findings(Vec<Finding>);
 
@@ -141,13 +144,16 @@
 
 impl Display for Findings {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        for (index, finding) in self.0.iter().enumerate() {
+        for (index, finding) in self.0.iter().take(MAX_DISPLAYED).enumerate() {
             if index > 0 {
                 writeln!(formatter)?;
             }
             write!(formatter, "{finding}")?;
         }
-        Ok(())
+        match self.0.len().saturating_sub(MAX_DISPLAYED) {
+            0 => Ok(()),
+            hidden => write!(formatter, "\nand {hidden} more"),
+        }
     }
 }
 
--- a/config/tests/hostile_bodies.rs
+++ b/config/tests/hostile_bodies.rs
@@ -20,6 +20,33 @@
     }
 }
 
+/// Guards against a body whose values are parsed into many times its own memory: 400,000 values are allowed, and no more,
+/// also in a part of the body that is ignored.
+#[gtest]
+fn a_body_with_too_many_values_is_rejected() {
+    for (items, too_many) in [(399_000, false), (400_000, true)] {
+        let list = vec!["0"; items].join(",");
+        let mut body = valid_body().to_string();
+        body.insert_str(1, &format!("\"ignored\":[{list}],"));
+        let parsed = Configuration::parse(body.as_bytes());
+        expect_that!(parsed.is_err(), eq(too_many), "{items} values");
+        if let Err(findings) = parsed {
+            expect_that!(findings.to_string(), contains_substring("more than 400000 values"));
+        }
+    }
+}
+
+/// Guards against a response that is many times as long as the body, with a line for each of its findings.
+#[gtest]
+fn of_many_findings_the_first_are_displayed_and_the_others_counted() {
+    let body = format!("{{\"version\":1{}}}", ",\"a\":0".repeat(1_501));
+    let findings = Configuration::parse(body.as_bytes()).expect_err("the field is there many times");
+    expect_that!(findings.as_slice().len(), eq(1_500));
+    let text = findings.to_string();
+    expect_that!(text.lines().count(), eq(1_001));
+    expect_that!(text, ends_with("\nand 500 more"));
+}
+
 /// Replaces bytes of a text by arbitrary bytes or by bytes that are significant in JSON and TOML.
 fn mutated(text: &[u8], edits: &[(Index, u8, bool)]) -> Vec<u8> {
     let significant = b"{}[]\",:\\0-.eE=\n\xff";
--- a/system/tests/misbehaving_clients.rs
+++ b/system/tests/misbehaving_clients.rs
@@ -32,6 +32,8 @@
 
 /// The resources of the process, which are also the bounds of the tests.
 const RESOURCES: Resources = Resources { memory_mb: 64, open_files: 400 };
+/// The resources of a machine of the sites, on which a call of the longest body fits.
+const SITE_RESOURCES: Resources = Resources { memory_mb: 260, open_files: 4_100 };
 const BYTES_PER_MB: u64 = 1_000_000;
 /// `maxBodyBytes` of the configuration.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
@@ -43,6 +45,8 @@
 const MAX_CALL_BYTES: usize = 5 * 1024 * 1024;
 /// Clients with a call each.
 const CALL_CLIENTS: usize = 40;
+/// Clients with a call each at a machine of the sites: all bodies together are more than its memory.
+const SITE_CALL_CLIENTS: usize = 70;
 /// The body of an ordinary request.
 const ORDINARY_BODY_BYTES: usize = 20_000;
 /// After this an ordinary request counts as never answered: the process hangs.
@@ -55,6 +59,7 @@
 /// One process with a configuration and a model server. While it exists no other test runs.
 struct Node {
     fleet: Fleet,
+    resources: Resources,
     monitor: Option<Monitor>,
     _server: ModelServer,
     _alone: MutexGuard<'static, ()>,
@@ -62,15 +67,19 @@
 
 impl Node {
     fn start(treatment: Treatment) -> Result<Node> {
+        Node::start_with(RESOURCES, treatment)
+    }
+
+    fn start_with(resources: Resources, treatment: Treatment) -> Result<Node> {
         static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
         let alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut fleet = Fleet::start_with(1, Some(RESOURCES))?;
+        let mut fleet = Fleet::start_with(1, Some(resources))?;
         fleet.wait(START_TIMEOUT, "there is a primary", |fleet| fleet.primary(0).is_some())?;
         verify_that!(fleet.put(0, 0, &configuration("")), eq(Some(200)))?;
         let server = ModelServer::start("desk", fleet.control_address(0), treatment)?;
         let process_id = fleet.process_id(0).or_fail()?;
         let monitor = Some(Monitor::start(process_id, *fleet.front_address(0).ip()));
-        let node = Node { fleet, monitor, _server: server, _alone: alone };
+        let node = Node { fleet, resources, monitor, _server: server, _alone: alone };
         node.answers_an_ordinary_request()?;
         Ok(node)
     }
@@ -94,8 +103,8 @@
         let peak = self.monitor.take().or_fail()?.finish();
         println!("{peak:?}");
         expect_that!(alive, eq(true));
-        expect_that!(peak.memory_bytes, le(RESOURCES.memory_mb * BYTES_PER_MB), "{peak:?}");
-        expect_that!(peak.descriptors, le(RESOURCES.open_files), "{peak:?}");
+        expect_that!(peak.memory_bytes, le(self.resources.memory_mb * BYTES_PER_MB), "{peak:?}");
+        expect_that!(peak.descriptors, le(self.resources.open_files), "{peak:?}");
         settled.and(beside_the_crowd).and(afterwards)
     }
 
@@ -329,3 +338,59 @@
     expect_that!(status_of(node.front(), &chunked), some(eq(200)));
     Ok(())
 }
+
+/// The same for a call of the longest body, on a machine of the sites.
+#[gtest]
+fn a_single_call_of_the_longest_body_is_decided() -> Result<()> {
+    let node = Node::start_with(SITE_RESOURCES, PROMPT_SERVER)?;
+    let note = "n".repeat(MAX_CALL_BYTES - configuration("").len());
+    let body = configuration(&note).replace("\"version\":1", "\"version\":2");
+    expect_that!(node.fleet.put(0, 1, &body), some(eq(200)));
+    expect_that!(node.fleet.read(0).map(|read| read.len()), some(eq(body.len())));
+    Ok(())
+}
+
+/// As on the small machine, with calls that fit one by one.
+#[gtest]
+fn calls_that_stop_short_of_their_end_at_a_machine_of_the_sites() -> Result<()> {
+    let node = Node::start_with(SITE_RESOURCES, PROMPT_SERVER)?;
+    let control = node.control();
+    let fields = format!("If-Match: 1\r\nContent-Length: {MAX_CALL_BYTES}\r\n");
+    let request = head("PUT", "/v1/config", "control", &fields);
+    node.withstands(SITE_CALL_CLIENTS, control, sends(vec![request, vec![b'x'; MAX_CALL_BYTES - 1]]))
+}
+
+/// Guards against bodies that are parsed into many times their own memory: a list of empty routes, of empty keys, and fields
+/// with the same name, each of which is a finding.
+#[gtest]
+fn calls_whose_bodies_are_parsed_into_much_more() -> Result<()> {
+    let fill = |open: &str, item: &str, close: &str| {
+        let items = (MAX_CALL_BYTES - open.len() - close.len()) / item.len() - 1;
+        format!("{open}{}{close}", item.repeat(items))
+    };
+    let bodies = [
+        fill("{\"version\":2,\"routes\":[", "{},", "{}]}"),
+        fill("{\"version\":2,\"backends\":[", "{},", "{}]}"),
+        fill("{\"version\":2,\"customers\":[{\"name\":\"c\",\"apiKeys\":[", "\"\",", "\"\"]}]}"),
+        fill("{\"version\":2,\"customers\":[", "{},", "{}]}"),
+        fill("{\"version\":2,", "\"a\":0,", "\"a\":0}"),
+        fill("{\"version\":2,\"other\":[", "0,", "0]}"),
+    ];
+    let mut node = Node::start_with(SITE_RESOURCES, PROMPT_SERVER)?;
+    for body in bodies {
+        for method in ["PUT", "PATCH"] {
+            let fields = format!("If-Match: 1\r\nConnection: close\r\nContent-Length: {}\r\n", body.len());
+            let call = [head(method, "/v1/config", "control", &fields), body.clone().into_bytes()].concat();
+            // Most of them are invalid; it is enough that the process goes on.
+            println!("{method} {}: {:?}", &body[..40], status_of(node.control(), &call));
+        }
+    }
+    node.answers_ordinary_callers()?;
+    let peak = node.monitor.take().or_fail()?.finish();
+    println!("{peak:?}");
+    expect_that!(node.fleet.is_alive(0), eq(true));
+    // What docs/resource-limits.md leaves to the node itself and to the control address.
+    let bound = SITE_RESOURCES.memory_mb * BYTES_PER_MB * 17 / 32;
+    expect_that!(peak.memory_bytes, le(bound), "{peak:?}");
+    Ok(())
+}
