Bound what other nodes occupy, and log the clients that were refused

Found while the places were listed that hold something for others, by reading: a connection of another node kept the memory of the longest message that it had carried, up to twice 6 MiB, for as long as it was open, and any number of connections could be open; the queues to other nodes are bounded one by one, at 8 MiB, and there are hundreds of them.

The number of connections is bounded by the descriptors, incomplete messages beyond 16 KiB reserve their length, and the memory of a long message isn't kept. All send queues together are bounded too. A message beyond a bound is lost, as the network may lose it.

Each second in which a limiter refused or evicted somebody has a log line, `clients refused`, with the address.

Tests: incomplete messages of 20 nodes (on the code before, none of their connections is closed: by reading, not run), the sum of queues, the length of an incomplete frame.

--- a/controlplane/src/send_queue.rs
+++ b/controlplane/src/send_queue.rs
@@ -1,4 +1,5 @@
-//! The queue of messages for the connection to one node: bounded in messages and in bytes.
+//! The queue of messages for the connection to one node: bounded in messages and in bytes. The queues of all nodes together are
+//! bounded in bytes too.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -31,11 +32,39 @@
     },
 }
 
+/// The bytes that are queued for all nodes together. Clones share the same count.
+#[derive(Debug, Clone)]
+pub struct QueuedTotal {
+    limit: usize,
+    bytes: Rc<Cell<usize>>,
+}
+
+impl QueuedTotal {
+    /// A count of 0, which may rise to `limit` bytes.
+    pub fn new(limit: usize) -> Self {
+        QueuedTotal { limit, bytes: Rc::default() }
+    }
+
+    /// The bytes that are queued.
+    pub fn bytes(&self) -> usize {
+        self.bytes.get()
+    }
+
+    fn add(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get() + bytes);
+    }
+
+    fn remove(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get().saturating_sub(bytes));
+    }
+}
+
 /// The sending end.
 #[derive(Debug)]
 pub struct SendQueue {
     messages: mpsc::Sender<Vec<u8>>,
     queued_bytes: Rc<Cell<usize>>,
+    total: QueuedTotal,
 }
 
 /// The receiving end, from which the connection is written.
@@ -43,14 +72,15 @@
 pub struct SendQueueReceiver {
     messages: mpsc::Receiver<Vec<u8>>,
     queued_bytes: Rc<Cell<usize>>,
+    total: QueuedTotal,
 }
 
-/// A queue for one connection.
-pub fn send_queue() -> (SendQueue, SendQueueReceiver) {
+/// A queue for one connection, whose bytes count in `total`.
+pub fn send_queue(total: &QueuedTotal) -> (SendQueue, SendQueueReceiver) {
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_MESSAGES);
     let queued_bytes = Rc::new(Cell::new(0));
-    let queue = SendQueue { messages: sender, queued_bytes: Rc::clone(&queued_bytes) };
-    (queue, SendQueueReceiver { messages: receiver, queued_bytes })
+    let queue = SendQueue { messages: sender, queued_bytes: Rc::clone(&queued_bytes), total: total.clone() };
+    (queue, SendQueueReceiver { messages: receiver, queued_bytes, total: total.clone() })
 }
 
 impl SendQueue {
@@ -58,17 +88,19 @@
     ///
     /// # Errors
     ///
-    /// [`SendError`] if the queue is full or the connection is gone.
+    /// [`SendError`] if the queue is full, all queues together are, or the connection is gone.
     pub fn push(&self, message: Vec<u8>) -> Result<(), SendError> {
         let (length, queued) = (message.len(), self.queued_bytes.get());
         if self.messages.is_closed() {
             return Err(SendError::Closed { message });
         }
-        if queued > 0 && queued + length > MAX_QUEUED_BYTES {
+        let queue_is_full = queued > 0 && queued + length > MAX_QUEUED_BYTES;
+        if queue_is_full || self.total.bytes() + length > self.total.limit {
             return Err(SendError::Full);
         }
         self.messages.try_send(message).map_err(|_| SendError::Full)?;
         self.queued_bytes.set(queued + length);
+        self.total.add(length);
         Ok(())
     }
 
@@ -95,7 +127,16 @@
 
     /// Releases the capacity of `bytes` that have been written.
     pub fn mark_written(&self, bytes: usize) {
-        self.queued_bytes.set(self.queued_bytes.get().saturating_sub(bytes));
+        let written = bytes.min(self.queued_bytes.get());
+        self.queued_bytes.set(self.queued_bytes.get() - written);
+        self.total.remove(written);
+    }
+}
+
+impl Drop for SendQueueReceiver {
+    fn drop(&mut self) {
+        // What was not written is lost.
+        self.mark_written(self.queued_bytes.get());
     }
 }
 
--- a/controlplane/src/transport.rs
+++ b/controlplane/src/transport.rs
@@ -11,12 +11,15 @@
 
 use gradepaddle_proto::frame::{self, FrameReader};
 use gradepaddle_proto::{Content, Decode, Encode, Envelope};
+use gradepaddle_resources::{ClientLimiter, ConnectionPermit, Reservation, WaitKind};
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
 
 use crate::inbox::{Inbox, InboxError};
-use crate::send_queue::{SendError, SendQueue, SendQueueReceiver, send_queue, write_with_progress};
+use crate::send_queue::{
+    QueuedTotal, SendError, SendQueue, SendQueueReceiver, send_queue, write_with_progress,
+};
 
 /// A connection has to be established within this.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -35,12 +38,15 @@
 pub struct Transport {
     own: SocketAddrV4,
     queues: RefCell<HashMap<SocketAddrV4, SendQueue>>,
+    queued_total: QueuedTotal,
 }
 
 impl Transport {
-    /// The transport of the node that others reach at `own`.
-    pub fn new(own: SocketAddrV4) -> Rc<Self> {
-        Rc::new(Transport { own, queues: RefCell::default() })
+    /// The transport of the node that others reach at `own`. At most `max_queued_bytes` wait to be written to all other nodes
+    /// together.
+    pub fn new(own: SocketAddrV4, max_queued_bytes: usize) -> Rc<Self> {
+        let queued_total = QueuedTotal::new(max_queued_bytes);
+        Rc::new(Transport { own, queues: RefCell::default(), queued_total })
     }
 
     /// Sends a message. It is lost if no connection can be established, if the connection breaks, or if the queue is
@@ -50,20 +56,20 @@
         let mut bytes = Vec::with_capacity(body.len() + frame::HEADER_BYTES);
         frame::write(&body, &mut bytes);
         let mut queues = self.queues.borrow_mut();
-        let queue = queues.entry(to).or_insert_with(|| open_connection(to));
+        let queue = queues.entry(to).or_insert_with(|| self.open_connection(to));
         if let Err(SendError::Closed { message }) = queue.push(bytes) {
-            let reopened = open_connection(to);
-            // Can't fail: an empty queue accepts any message.
+            let reopened = self.open_connection(to);
+            // An empty queue drops a message only if the other queues are full.
             let _ = reopened.push(message);
             queues.insert(to, reopened);
         }
     }
-}
 
-fn open_connection(to: SocketAddrV4) -> SendQueue {
-    let (queue, receiver) = send_queue();
-    tokio::task::spawn_local(run_connection(to, receiver));
-    queue
+    fn open_connection(&self, to: SocketAddrV4) -> SendQueue {
+        let (queue, receiver) = send_queue(&self.queued_total);
+        tokio::task::spawn_local(run_connection(to, receiver));
+        queue
+    }
 }
 
 /// Writes the messages for one node until its connection ends.
@@ -99,27 +105,54 @@
     Some(stream)
 }
 
-/// Accepts connections of other nodes for as long as the process runs.
-pub async fn serve_peers(listener: TcpListener, inbox: Inbox) {
+/// Accepts connections of other nodes for as long as the process runs, within the bounds of `peers`. A connection beyond them
+/// is closed: its messages are lost, as if the network had lost them.
+pub async fn serve_peers(listener: TcpListener, inbox: Inbox, peers: ClientLimiter) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(receive(stream, inbox.clone()));
+                if let Ok(permit) = peers.admit().await {
+                    tokio::task::spawn_local(receive(PeerConnection { stream, permit }, inbox.clone()));
+                }
             }
             Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
 }
 
-/// Reads messages until the connection ends or an invalid frame arrives.
-async fn receive(mut stream: TcpStream, inbox: Inbox) {
+/// A connection of another node with its permit, which is returned after the socket has been closed: fields are dropped in
+/// their order.
+struct PeerConnection {
+    stream: TcpStream,
+    permit: ConnectionPermit,
+}
+
+impl PeerConnection {
+    /// Reads some bytes. None if the connection has ended, is idle, or is needed for another node.
+    async fn read(&mut self, bytes: &mut [u8]) -> Option<usize> {
+        let entry = self.permit.wait(WaitKind::Idle);
+        // If another branch completes first, the connection is closed.
+        tokio::select! {
+            biased;
+            read = timeout(2 * IDLE_TIMEOUT, self.stream.read(bytes)) => read.ok()?.ok().filter(|count| *count > 0),
+            () = entry.evicted() => None,
+        }
+    }
+
+    /// Reserves the memory of a frame of this length, unless that is short; none is returned if it isn't left.
+    async fn reserve_frame(&self, length: usize) -> Option<Reservation> {
+        let long_bytes = if length > READ_SIZE { length } else { 0 };
+        self.permit.reserve(long_bytes).await.ok()
+    }
+}
+
+/// Reads messages until the connection ends, an invalid frame arrives, or a long one for which no memory is left.
+async fn receive(mut connection: PeerConnection, inbox: Inbox) {
     let mut frames = FrameReader::default();
     let mut bytes = vec![0; READ_SIZE];
-    loop {
-        let count = match timeout(2 * IDLE_TIMEOUT, stream.read(&mut bytes)).await {
-            Ok(Ok(count)) if count > 0 => count,
-            _ => return,
-        };
+    // The length of the incomplete frame, and the memory reserved for it.
+    let (mut reserved_length, mut _reservation) = (0, None);
+    while let Some(count) = connection.read(&mut bytes).await {
         frames.push(&bytes[..count]);
         loop {
             match frames.next_body() {
@@ -135,5 +168,13 @@
                 Err(_) => return,
             }
         }
+        if frames.incomplete_length() != reserved_length {
+            reserved_length = frames.incomplete_length();
+            _reservation = None;
+            _reservation = match connection.reserve_frame(reserved_length).await {
+                Some(reservation) => Some(reservation),
+                None => return,
+            };
+        }
     }
 }
--- a/controlplane/tests/inbox.rs
+++ b/controlplane/tests/inbox.rs
@@ -14,9 +14,10 @@
 use gradepaddle_controlplane::transport::serve_peers;
 use gradepaddle_gossip::{AgedItem, Message, Stamp};
 use gradepaddle_proto::{Content, Encode, Envelope, VersionQuery, frame};
-use tokio::io::AsyncWriteExt;
+use gradepaddle_resources::{ClientLimiter, ResourcePlan};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, advance};
+use tokio::time::{Instant, advance, timeout};
 
 /// The size of a large gossip message.
 const BULK_BYTES: usize = 400_000;
@@ -140,6 +141,47 @@
     expect_that!(inbox.push(query(address(1), 1), 20), err(eq(InboxError::Closed)));
 }
 
+/// The limiter of connections of other nodes, of a machine of the sites.
+fn peers() -> ClientLimiter {
+    ClientLimiter::new(ResourcePlan::new(260, 4_100).peers)
+}
+
+/// Guards against long messages of which only a part has come, from many nodes at once: their memory is bounded, and other
+/// nodes are heard.
+#[gtest]
+#[tokio::test]
+async fn incomplete_messages_of_many_nodes_are_bounded() {
+    let local = tokio::task::LocalSet::new();
+    let flooded = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let to = listener.local_addr().expect("it is bound");
+        let (inbox, mut receiver) = inbox();
+        let limiter = peers();
+        tokio::task::spawn_local(serve_peers(listener, inbox, limiter.clone()));
+        let length = u32::try_from(frame::MAX_BODY_BYTES).expect("it fits the header");
+        let header = [length.to_le_bytes(), [0; 4]].concat();
+        let mut incomplete = Vec::new();
+        for _ in 0..20 {
+            let mut stream = TcpStream::connect(to).await.expect("it listens");
+            stream.write_all(&header).await.expect("it is read");
+            incomplete.push(stream);
+        }
+        let mut closed = 0;
+        for stream in &mut incomplete {
+            let read = timeout(Duration::from_millis(50), stream.read(&mut [0])).await;
+            closed += usize::from(read.is_ok());
+        }
+        expect_that!(closed, ge(20 - 2));
+        expect_that!(limiter.reserved_bytes(), le(limiter.total_bytes()));
+        let mut quiet = TcpStream::connect(to).await.expect("it listens");
+        let mut bytes = Vec::new();
+        frame::write(&query(address(2), 2).to_bytes(), &mut bytes);
+        quiet.write_all(&bytes).await.expect("it is read");
+        expect_that!(receiver.recv().await.as_ref().and_then(query_id), some(eq(2)));
+    };
+    local.run_until(flooded).await;
+}
+
 /// 40 MB of gossip arrive on one connection while nothing is handled. A query on another connection is still received
 /// soon.
 #[gtest]
@@ -150,7 +192,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let to = listener.local_addr().expect("it is bound");
         let (inbox, mut receiver) = inbox();
-        tokio::task::spawn_local(serve_peers(listener, inbox));
+        tokio::task::spawn_local(serve_peers(listener, inbox, peers()));
         let mut bytes = Vec::new();
         frame::write(&bulk(address(1), BULK_BYTES).to_bytes(), &mut bytes);
         let mut noisy = TcpStream::connect(to).await.expect("it listens");
--- a/controlplane/tests/send_queue.rs
+++ b/controlplane/tests/send_queue.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use gradepaddle_controlplane::send_queue::{
-    MAX_QUEUED_BYTES, MAX_QUEUED_MESSAGES, SendError, send_queue, write_with_progress,
+    MAX_QUEUED_BYTES, MAX_QUEUED_MESSAGES, QueuedTotal, SendError, send_queue, write_with_progress,
 };
 use tokio::io::{AsyncReadExt, duplex};
 use tokio::time::{Instant, sleep};
@@ -49,7 +49,7 @@
 
 #[gtest]
 fn the_queue_is_bounded_in_bytes() {
-    let (queue, _outgoing) = send_queue();
+    let (queue, _outgoing) = send_queue(&QueuedTotal::new(usize::MAX));
     let mut accepted = 0;
     for _ in 0..100 {
         match queue.push(vec![0; 400_000]) {
@@ -63,7 +63,7 @@
 
 #[gtest]
 fn the_queue_is_bounded_in_messages() {
-    let (queue, _outgoing) = send_queue();
+    let (queue, _outgoing) = send_queue(&QueuedTotal::new(usize::MAX));
     let accepted = (0..2 * MAX_QUEUED_MESSAGES).filter(|_| queue.push(vec![0; 10]).is_ok()).count();
     expect_that!(accepted, eq(MAX_QUEUED_MESSAGES));
     expect_that!(queue.queued_bytes(), eq(10 * MAX_QUEUED_MESSAGES));
@@ -71,7 +71,7 @@
 
 #[gtest]
 fn the_largest_message_is_accepted_by_an_empty_queue() {
-    let (queue, _outgoing) = send_queue();
+    let (queue, _outgoing) = send_queue(&QueuedTotal::new(usize::MAX));
     expect_that!(queue.push(vec![0; 2 * MAX_QUEUED_BYTES]), ok(anything()));
     expect_that!(queue.push(vec![0; 1]), err(eq(&SendError::Full)));
 }
@@ -79,7 +79,7 @@
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn written_messages_free_capacity_and_stay_in_order() {
-    let (queue, mut outgoing) = send_queue();
+    let (queue, mut outgoing) = send_queue(&QueuedTotal::new(usize::MAX));
     for number in 0..10 {
         expect_that!(queue.push(vec![number; 1_000]), ok(anything()));
     }
@@ -94,3 +94,23 @@
     drop(outgoing);
     expect_that!(queue.push(vec![7]), err(eq(&SendError::Closed { message: vec![7] })));
 }
+
+/// Guards against queues that are bounded one by one only: a node has hundreds of them. What was written, or lost with its
+/// connection, makes room.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn all_queues_together_are_bounded_in_bytes() {
+    let total = QueuedTotal::new(2_500);
+    let (first, mut first_receiver) = send_queue(&total);
+    let (second, second_receiver) = send_queue(&total);
+    expect_that!(first.push(vec![1; 1_000]), ok(anything()));
+    expect_that!(second.push(vec![2; 1_000]), ok(anything()));
+    expect_that!(second.push(vec![2; 1_000]), err(eq(&SendError::Full)));
+    expect_that!(total.bytes(), eq(2_000));
+    let batch = first_receiver.next_batch().await.unwrap_or_default();
+    first_receiver.mark_written(batch.len());
+    expect_that!(total.bytes(), eq(1_000));
+    expect_that!(second.push(vec![2; 1_000]), ok(anything()));
+    drop(second_receiver);
+    expect_that!(total.bytes(), eq(0));
+}
--- a/proto/src/frame.rs
+++ b/proto/src/frame.rs
@@ -43,13 +43,25 @@
 impl FrameReader {
     /// Appends received bytes; they need not end at a frame boundary.
     pub fn push(&mut self, bytes: &[u8]) {
-        if self.start > 0 {
+        if self.start == self.pending.len() {
+            // The memory of a long frame isn't kept for the short ones after it.
+            self.pending = Vec::new();
+        } else {
             self.pending.drain(..self.start);
-            self.start = 0;
         }
+        self.start = 0;
+        let missing = self.incomplete_length().saturating_sub(self.pending.len());
+        self.pending.reserve_exact(missing.min(MAX_BODY_BYTES).max(bytes.len()));
         self.pending.extend_from_slice(bytes);
     }
 
+    /// The length of the frame that is incomplete, with its header, in bytes; 0 while that isn't known. Call it after
+    /// [`FrameReader::next_body`] has returned `None`.
+    pub fn incomplete_length(&self) -> usize {
+        let Some(header) = self.pending[self.start..].first_chunk::<HEADER_BYTES>() else { return 0 };
+        HEADER_BYTES + u32::from_le_bytes([header[0], header[1], header[2], header[3]]) as usize
+    }
+
     /// Returns the body of the next frame, or `None` if it is incomplete.
     ///
     /// # Errors
--- a/proto/tests/frames.rs
+++ b/proto/tests/frames.rs
@@ -121,3 +121,19 @@
         }
     }
 }
+
+/// Guards against a wrong length of the frame for which memory is reserved.
+#[gtest]
+fn the_length_of_an_incomplete_frame_is_known_from_its_header_on() {
+    let frame = framed(&[vec![1; 1_000]]);
+    let mut reader = FrameReader::default();
+    reader.push(&frame[..HEADER_BYTES - 1]);
+    expect_that!(read_bodies(&mut reader), ok(is_empty()));
+    expect_that!(reader.incomplete_length(), eq(0));
+    reader.push(&frame[HEADER_BYTES - 1..500]);
+    expect_that!(read_bodies(&mut reader), ok(is_empty()));
+    expect_that!(reader.incomplete_length(), eq(HEADER_BYTES + 1_000));
+    reader.push(&frame[500..]);
+    expect_that!(read_bodies(&mut reader), ok(eq(&[vec![1; 1_000]])));
+    expect_that!(reader.incomplete_length(), eq(0));
+}
--- a/resources/src/client_limiter.rs
+++ b/resources/src/client_limiter.rs
@@ -50,6 +50,13 @@
     pub evicted: u64,
 }
 
+impl LimiterCounts {
+    /// What was counted after `earlier`.
+    pub fn since(self, earlier: LimiterCounts) -> LimiterCounts {
+        LimiterCounts { refused: self.refused - earlier.refused, evicted: self.evicted - earlier.evicted }
+    }
+}
+
 /// Limits the clients of one listening address. Clones share the same resources.
 #[derive(Clone, Debug)]
 pub struct ClientLimiter(Rc<Inner>);
--- a/resources/src/plan.rs
+++ b/resources/src/plan.rs
@@ -15,6 +15,14 @@
 const FRONT_BACKLOG_PARTS: usize = 2;
 /// The same at the control address.
 const CONTROL_BACKLOG_PARTS: usize = 1;
+/// Parts for messages to other nodes that have not been written.
+const PEER_SEND_PARTS: usize = 2;
+/// Parts for connections of other nodes, and messages of which a part has been received.
+const PEER_RECEIVE_PARTS: usize = 2;
+/// Fewest bytes for each of these, however small the machine: the largest message between nodes must fit.
+const MIN_PEER_BYTES: usize = 7 * 1024 * 1024;
+/// Memory of a connection of another node: its task and its read buffer.
+const PEER_CONNECTION_BYTES: usize = 24 * 1024;
 /// Parts for buffers of responses, beyond what is reserved for each request.
 const RESPONSE_PARTS: usize = 2;
 
@@ -64,8 +72,10 @@
     pub response_bytes: usize,
     /// Most idle connections to servers.
     pub idle_upstreams: usize,
-    /// Most connections that other nodes may have opened to this one.
-    pub peer_connections: usize,
+    /// What connections of other nodes may occupy.
+    pub peers: ClientBounds,
+    /// Most bytes of messages to other nodes that wait to be written.
+    pub peer_send_bytes: usize,
 }
 
 /// The bounds of one listening address.
@@ -123,7 +133,12 @@
             readiness: ListenerPlan::readiness(),
             response_bytes: RESPONSE_PARTS * memory_part,
             idle_upstreams: IDLE_UPSTREAM_DESCRIPTOR_PARTS * descriptor_part,
-            peer_connections: (PEER_DESCRIPTOR_PARTS * descriptor_part).max(MIN_CONNECTIONS),
+            peers: ClientBounds {
+                max_connections: (PEER_DESCRIPTOR_PARTS * descriptor_part).max(MIN_CONNECTIONS),
+                connection_bytes: PEER_CONNECTION_BYTES,
+                total_bytes: (PEER_RECEIVE_PARTS * memory_part).max(MIN_PEER_BYTES),
+            },
+            peer_send_bytes: (PEER_SEND_PARTS * memory_part).max(MIN_PEER_BYTES),
         }
     }
 }
--- a/resources/tests/plan.rs
+++ b/resources/tests/plan.rs
@@ -18,6 +18,10 @@
         let own = memory - held;
         expect_that!(own, ge(memory * 2 / 5), "{memory_mb} MB");
         expect_that!(plan.readiness.max_bytes(), le(own / 5), "{memory_mb} MB");
+        if memory_mb >= 160 {
+            let for_peers = plan.peers.total_bytes + plan.peer_send_bytes;
+            expect_that!(own - for_peers, ge(memory * 3 / 10), "{memory_mb} MB");
+        }
     }
 }
 
@@ -31,7 +35,7 @@
                 + plan.control.clients.max_connections
                 + plan.readiness.clients.max_connections
                 + plan.idle_upstreams
-                + 2 * plan.peer_connections;
+                + 2 * plan.peers.max_connections;
             expect_that!(
                 connections + RESERVED_DESCRIPTORS,
                 le(open_files as usize),
@@ -50,6 +54,8 @@
     expect_that!(front.max_connections, ge(400));
     expect_that!(front.total_bytes - front.max_connections * front.connection_bytes, ge(8 * 4 * 1024 * 1024));
     expect_that!(control.max_connections, ge(100));
+    expect_that!(plan.peers.max_connections, ge(400));
+    expect_that!(plan.peers.total_bytes - 300 * plan.peers.connection_bytes, ge(6 * 1024 * 1024 + 8));
     expect_that!(plan.front.backlog, ge(256));
     expect_that!(plan.control.backlog, ge(128));
 }
--- a/system/src/main.rs
+++ b/system/src/main.rs
@@ -8,6 +8,7 @@
 mod control_store;
 mod effects;
 mod error;
+mod limiter_report;
 mod listeners;
 mod logging;
 mod planes;
--- a/system/src/run.rs
+++ b/system/src/run.rs
@@ -25,6 +25,7 @@
 
 use crate::effects::NodeEffects;
 use crate::error::{CommandError, NoSettingsSnafu, RuntimeSnafu};
+use crate::limiter_report::LimiterReport;
 use crate::listeners::{Listeners, peer_address, seed_addresses};
 use crate::settings_file::SettingsFile;
 use crate::{control_store, logging, planes, shutdown};
@@ -33,7 +34,7 @@
 const SETTINGS_VARIABLE: &str = "GRADEPADDLE_BOOT";
 /// Interval of the checks whether the settings file has changed without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(5);
-/// Interval at which idle connections are closed.
+/// Interval at which idle connections are closed and refused clients are reported.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Runs a node until SIGTERM.
@@ -58,6 +59,7 @@
     let started = Instant::now();
     let (events, event_receiver) = mpsc::unbounded_channel();
     let callers = ClientLimiter::new(resources.control.clients);
+    let peers = ClientLimiter::new(resources.peers);
     let plane = planes::data_plane(&settings, resources, &log);
     let clock = Clock::new(started);
     let effects = Rc::new(NodeEffects {
@@ -76,7 +78,7 @@
     }));
     let node = planes::control_plane(&settings);
     let (inbox, inbox_receiver) = inbox();
-    let transport = Transport::new(peer_address(&settings));
+    let transport = Transport::new(peer_address(&settings), resources.peer_send_bytes);
     let channels = DriverChannels { events: event_receiver, inbox: inbox_receiver, loopback: events.clone() };
     let owner: Arc<str> = Arc::from(&*settings.node_name);
     let driver = Driver::new(node, channels, transport, effects.clone(), owner, clock);
@@ -87,11 +89,17 @@
         events.clone(),
         clock,
     ));
-    tokio::task::spawn_local(serve_peers(listeners.peers, inbox));
+    tokio::task::spawn_local(serve_peers(listeners.peers, inbox, peers.clone()));
     tokio::task::spawn_local(serve_api(listeners.control, events.clone(), clock, callers.clone()));
     tokio::task::spawn_local(serve_readiness(plane.clone(), listeners.readiness));
     tokio::task::spawn_local(serve_clients(plane.clone(), listeners.front));
-    tokio::task::spawn_local(sweep(plane.clone()));
+    let limiters = vec![
+        LimiterReport::new("front", plane.clients()),
+        LimiterReport::new("controlPlane", &callers),
+        LimiterReport::new("readiness", plane.readiness_clients()),
+        LimiterReport::new("internalPorts", &peers),
+    ];
+    tokio::task::spawn_local(sweep(plane.clone(), limiters, log.clone()));
     tokio::task::spawn_local(receive_load_reports(plane.clone(), listeners.load_reports.clone()));
     tokio::task::spawn_local(send_load_reports(plane.clone(), listeners.load_reports));
     info!(log, "node started"; "zone" => &settings.zone, "first_boot" => settings.first_boot);
@@ -144,9 +152,10 @@
     }
 }
 
-async fn sweep(plane: Rc<DataPlane>) {
+async fn sweep(plane: Rc<DataPlane>, mut limiters: Vec<LimiterReport>, log: Logger) {
     loop {
         sleep(SWEEP_INTERVAL).await;
         plane.sweep();
+        limiters.iter_mut().for_each(|limiter| limiter.report(&log));
     }
 }
