Evict clients that don't read their responses where others need their places

A client that reads nothing kept its connection, its request's memory and its server's place until the stall budget of 10 s or the request's deadline had passed; as many of them as there are places kept everybody else out for as long. A part of a response that was not read for 2 s makes its connection the last one to be evicted, behind idle ones and unfinished requests. The client sees a reset; nobody is evicted where nothing is short.

Writing a response of the node's own stood twice; it is LocalResponse::write now. Test: the order of eviction.

--- a/controlplane/src/api_server.rs
+++ b/controlplane/src/api_server.rs
@@ -132,7 +132,7 @@
             NextCall::Evicted => return refuse(caller.connection, &server.pool),
             NextCall::Invalid(response) => {
                 let bytes = encode(&response, "", false, &server.pool);
-                if caller.connection.write(&[&bytes]).await.is_ok() {
+                if caller.write(&bytes).await {
                     caller.close_lingering().await;
                 }
                 return;
@@ -170,7 +170,17 @@
         // The lease is checked right before the write: the process may have been stopped since the driver decided.
         let response = response.unless_expired(server.clock.now());
         let bytes = encode(&response, head.path(), head.keeps_alive(), &server.pool);
-        self.connection.write(&[&bytes]).await.is_ok()
+        self.write(&bytes).await
+    }
+
+    /// Writes a response. False if the connection is unusable, or needed for another caller while this one doesn't read.
+    async fn write(&self, response: &Chain) -> bool {
+        let chains = [response];
+        tokio::select! {
+            biased;
+            written = self.connection.write(&chains) => written.is_ok(),
+            () = self.permit.evicted_while(WaitKind::UnreadResponse) => false,
+        }
     }
 
     /// Closes the connection after a last response, as [`Connection::close_lingering`]; at once if it is needed for another
--- a/dataplane/src/client_connection.rs
+++ b/dataplane/src/client_connection.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use gradepaddle_http::Connection;
-use gradepaddle_http::Head;
-use gradepaddle_http::buffers::Chain;
 use gradepaddle_resources::{ConnectionPermit, WaitKind};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep};
@@ -16,7 +14,7 @@
 use crate::lifecycle::Phase;
 use crate::proxied_request::ProxiedRequest;
 use crate::proxy::{Proxy, RequestOutcome};
-use crate::request_reader::{NextRequest, limits, next_request, occupied};
+use crate::request_reader::{NextRequest, ReceivedRequest, limits, next_request, occupied};
 
 /// Pause after a failed accept, whose usual cause is a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -82,21 +80,17 @@
             NextRequest::None => return,
             NextRequest::Evicted => return refuse(&plane, client.connection),
             NextRequest::Invalid(response) => {
-                let chain = response.to_chain(&plane.pool, None, true);
-                if client.connection.write(&[&chain]).await.is_ok() {
-                    client.close_lingering().await;
+                match response.write(&plane.pool, &client.connection, &client.permit, None, true).await {
+                    RequestOutcome::Responded => return client.close_lingering().await,
+                    RequestOutcome::Aborted => return,
                 }
-                return;
             }
             NextRequest::Complete(request) => {
-                let arrived = Instant::now();
-                let head = &request.head;
-                let close = !head.keeps_alive()
-                    || head.is_http_1_0()
+                let close = !request.head.keeps_alive()
+                    || request.head.is_http_1_0()
                     || plane.closes_connections()
                     || plane.keys_expired();
-                let connection = &mut client.connection;
-                match respond(&plane, connection, head, &request.body, arrived, close).await {
+                match respond(&plane, &mut client, &request, close).await {
                     RequestOutcome::Responded if !close => {}
                     RequestOutcome::Responded => {
                         drop(request);
@@ -112,31 +106,28 @@
 /// Admits one request and proxies it, or responds with the reason why it is not admitted.
 async fn respond(
     plane: &Rc<DataPlane>,
-    client: &mut Connection,
-    head: &Head,
-    body: &Chain,
-    arrived: Instant,
+    client: &mut ClientConnection,
+    request: &ReceivedRequest,
     close: bool,
 ) -> RequestOutcome {
+    let arrived = Instant::now();
+    let ClientConnection { connection, permit } = client;
+    let ReceivedRequest { head, body, .. } = request;
     increment(&plane.counters.requests);
     let admitted = tokio::select! {
         biased;
-        () = client.peer_closed() => return RequestOutcome::Aborted,
+        () = connection.peer_closed() => return RequestOutcome::Aborted,
         admitted = admit(plane, head) => admitted,
     };
     match admitted {
         Ok(routed) => {
-            let request = ProxiedRequest { plane, head, body, routed, arrived };
-            Proxy::new(&request, close).run(client).await
+            let request = ProxiedRequest { plane, permit, head, body, routed, arrived };
+            Proxy::new(&request, close).run(connection).await
         }
         Err(response) => {
             increment(&plane.counters.denied);
             let id = head.get_all("x-request-id").next();
-            let chain = response.to_chain(&plane.pool, id, close);
-            match client.write(&[&chain]).await {
-                Ok(()) => RequestOutcome::Responded,
-                Err(_) => RequestOutcome::Aborted,
-            }
+            response.write(&plane.pool, connection, permit, id, close).await
         }
     }
 }
--- a/dataplane/src/proxied_request.rs
+++ b/dataplane/src/proxied_request.rs
@@ -6,6 +6,7 @@
 use gradepaddle_http::Head;
 use gradepaddle_http::buffers::Chain;
 use gradepaddle_placement::{Placement, PlacementRequest, Rejection};
+use gradepaddle_resources::ConnectionPermit;
 use tokio::time::Instant;
 
 use crate::data_plane::DataPlane;
@@ -14,6 +15,8 @@
 /// A completely read and admitted request.
 pub(crate) struct ProxiedRequest<'a> {
     pub plane: &'a Rc<DataPlane>,
+    /// The permit of the client's connection.
+    pub permit: &'a ConnectionPermit,
     pub head: &'a Head,
     pub body: &'a Chain,
     pub routed: RoutedRequest,
--- a/dataplane/src/proxy.rs
+++ b/dataplane/src/proxy.rs
@@ -154,11 +154,8 @@
         let plane = self.request.plane;
         let not_processed = matches!(response, LocalResponse::Unavailable { .. });
         increment(if not_processed { &plane.counters.rejected } else { &plane.counters.failed });
-        let chain = response.to_chain(&plane.pool, Some(&self.request.routed.id), self.close);
-        match client.write(&[&chain]).await {
-            Ok(()) => RequestOutcome::Responded,
-            Err(_) => RequestOutcome::Aborted,
-        }
+        let id = Some(&*self.request.routed.id);
+        response.write(&plane.pool, client, self.request.permit, id, self.close).await
     }
 }
 
--- a/dataplane/src/response_forwarding.rs
+++ b/dataplane/src/response_forwarding.rs
@@ -9,6 +9,7 @@
     Connection, Framing, ReadError, chunk_frame, push_end_to_end_fields, push_framing_field,
 };
 use gradepaddle_placement::{AttemptOutcome, OutdatedStart, Placement, StreamPause};
+use gradepaddle_resources::{ConnectionPermit, WaitKind};
 use slog::warn;
 use tokio::time::{Instant, sleep_until};
 
@@ -58,6 +59,8 @@
 /// If it is dropped before the response has ended, the attempt is reported to the placer as ended by the client.
 pub(crate) struct ResponseForwarding<'a> {
     plane: &'a Rc<DataPlane>,
+    /// The permit of the client's connection.
+    permit: &'a ConnectionPermit,
     routed: &'a RoutedRequest,
     /// The response; none once its connection has been released or closed.
     upstream: Option<UpstreamResponse>,
@@ -90,6 +93,7 @@
         let is_stream = routed.streaming && upstream.is_event_stream();
         ResponseForwarding {
             plane: request.plane,
+            permit: request.permit,
             routed,
             upstream: Some(upstream),
             placement,
@@ -296,7 +300,8 @@
         }
     }
 
-    /// Writes to the client, until the deadline or until the client disconnects.
+    /// Writes to the client, until the deadline, until the client disconnects, or until its connection is needed for another
+    /// client that does read.
     ///
     /// # Errors
     ///
@@ -308,6 +313,11 @@
             written = client.write(chains) => written.map_err(|_| ForwardingOutcome::ClientGone),
             () = client.peer_closed() => Err(ForwardingOutcome::ClientGone),
             () = sleep_until(self.deadline) => Err(ForwardingOutcome::Interrupted),
+            () = self.permit.evicted_while(WaitKind::UnreadResponse) => {
+                // The client must see a reset: an end could pass for the end of the response.
+                client.reset_on_drop();
+                Err(ForwardingOutcome::ClientGone)
+            }
         }
     }
 
--- a/resources/src/client_limiter.rs
+++ b/resources/src/client_limiter.rs
@@ -188,6 +188,12 @@
         self.limiter.make_room(bytes, Some(self.serial), || budget.try_reserve(bytes).ok()).await
     }
 
+    /// Completes once this connection, which waits for its client from the first poll on, is needed for another one. Cancellation
+    /// safe.
+    pub async fn evicted_while(&self, kind: WaitKind) {
+        self.wait(kind).evicted().await;
+    }
+
     /// Enters this connection among those that wait for their client, until the entry is dropped.
     pub fn wait(&self, kind: WaitKind) -> EvictionEntry {
         self.limiter.0.waiting.enter(kind, self.limiter.next_serial(), self.serial)
--- a/resources/src/eviction.rs
+++ b/resources/src/eviction.rs
@@ -15,15 +15,20 @@
     Idle,
     /// The rest of a request, counted from its first byte.
     PartialRequest,
+    /// The client to read a part of its response, counted from the write of that part.
+    UnreadResponse,
 }
 
+/// The number of kinds.
+const KINDS: usize = 3;
 /// How long a waiting connection of each kind is left alone.
-const MIN_WAIT: [Duration; 2] = [Duration::from_millis(250), Duration::from_secs(1)];
+const MIN_WAIT: [Duration; KINDS] =
+    [Duration::from_millis(250), Duration::from_secs(1), Duration::from_secs(2)];
 
 /// The waiting connections, each kind in the order in which they began to wait.
 #[derive(Debug, Default)]
 pub(crate) struct WaitingConnections {
-    queues: RefCell<[WaitQueue; 2]>,
+    queues: RefCell<[WaitQueue; KINDS]>,
 }
 
 /// Waiting connections by serial number.
--- a/resources/tests/client_limiter.rs
+++ b/resources/tests/client_limiter.rs
@@ -8,7 +8,7 @@
 
 const BOUNDS: ClientBounds = ClientBounds { max_connections: 3, connection_bytes: 10, total_bytes: 100 };
 /// Longer than any waiting connection is left alone.
-const LONG: Duration = Duration::from_secs(2);
+const LONG: Duration = Duration::from_secs(3);
 
 /// Guards against connections and bytes that are counted wrongly, or not returned.
 #[gtest]
@@ -56,17 +56,19 @@
 /// Guards against a crowd that keeps all places: the connection that has waited longest makes room, idle ones first.
 #[gtest]
 #[tokio::test(start_paused = true)]
-async fn idle_connections_make_room_before_partial_requests() {
+async fn idle_connections_make_room_before_requests_and_responses() {
     let limiter = ClientLimiter::new(BOUNDS);
     let mut order = Vec::new();
     let (evictions, mut evicted) = tokio::sync::mpsc::unbounded_channel();
     let local = tokio::task::LocalSet::new();
-    for (name, kind) in
-        [("partial", WaitKind::PartialRequest), ("idle", WaitKind::Idle), ("idle, later", WaitKind::Idle)]
-    {
+    for (name, kind) in [
+        ("unread", WaitKind::UnreadResponse),
+        ("partial", WaitKind::PartialRequest),
+        ("idle", WaitKind::Idle),
+    ] {
         let (permit, evictions) = (limiter.admit().await.expect("it fits"), evictions.clone());
         local.spawn_local(async move {
-            permit.wait(kind).evicted().await;
+            permit.evicted_while(kind).await;
             evictions.send(name).expect("the test receives");
         });
         local.run_until(tokio::task::yield_now()).await;
@@ -82,7 +84,7 @@
             expect_that!(limiter.admit().await.map(drop), err(eq(ReserveError::Occupied)));
         })
         .await;
-    expect_that!(order, eq(&["idle", "idle, later", "partial"]));
+    expect_that!(order, eq(&["idle", "partial", "unread"]));
 }
 
 /// Guards against a request that evicts its own connection, and waits for itself.
