Evict one connection for each place that is needed, not two

A wait for returned bytes ended at once if some had been returned before it began, and the next connection was evicted before the first one had closed. The wait begins before the eviction now, and only what is returned after that ends it. The test finds two evictions in place of one on the code before.

--- a/resources/src/byte_budget.rs
+++ b/resources/src/byte_budget.rs
@@ -5,6 +5,7 @@
 
 use snafu::Snafu;
 use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 
 /// Less than the requested bytes are left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -62,9 +63,9 @@
         Ok(reservation)
     }
 
-    /// Waits until bytes have been returned since the last call. For one waiting task at a time. Cancellation safe.
-    pub(crate) async fn released(&self) {
-        self.0.released.notified().await;
+    /// Completes once bytes are returned after this call.
+    pub(crate) fn released(&self) -> Notified<'_> {
+        self.0.released.notified()
     }
 }
 
@@ -101,6 +102,6 @@
     fn drop(&mut self) {
         let inner = &self.budget.0;
         inner.reserved.set(inner.reserved.get() - self.bytes);
-        inner.released.notify_one();
+        inner.released.notify_waiters();
     }
 }
--- a/resources/src/client_limiter.rs
+++ b/resources/src/client_limiter.rs
@@ -150,13 +150,15 @@
             if let Some(made) = attempt() {
                 return Ok(made);
             }
+            // Created before the eviction, so that what is returned from now on is noticed, and nothing that was returned before.
+            let released = self.0.bytes.released();
             if !self.0.waiting.evict_longest(Instant::now(), needed_by) {
                 self.count_refused();
                 return Err(ReserveError::Occupied);
             }
             self.count_evicted();
             // After a time-out the next connection is evicted.
-            let _ = timeout(EVICTION_TIMEOUT, self.0.bytes.released()).await;
+            let _ = timeout(EVICTION_TIMEOUT, released).await;
         }
     }
 
--- a/resources/tests/client_limiter.rs
+++ b/resources/tests/client_limiter.rs
@@ -87,6 +87,28 @@
     expect_that!(order, eq(&["idle", "partial", "unread"]));
 }
 
+/// Guards against a second connection that is evicted for one place, because bytes had been returned before.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn one_place_costs_one_connection() {
+    let limiter = ClientLimiter::new(BOUNDS);
+    let local = tokio::task::LocalSet::new();
+    for _ in 0..BOUNDS.max_connections {
+        let permit = limiter.admit().await.expect("it fits");
+        drop(permit.reserve(20).await.expect("it fits"));
+        local.spawn_local(async move { permit.evicted_while(WaitKind::Idle).await });
+    }
+    local
+        .run_until(async {
+            tokio::task::yield_now().await;
+            advance(LONG).await;
+            let _permit = limiter.admit().await.expect("room is made");
+            expect_that!(limiter.counts(), eq(LimiterCounts { refused: 0, evicted: 1 }));
+            expect_that!(limiter.connections(), eq(BOUNDS.max_connections));
+        })
+        .await;
+}
+
 /// Guards against a request that evicts its own connection, and waits for itself.
 #[gtest]
 #[tokio::test(start_paused = true)]
